Write the request path: HTTP server, chat flow, service flow, bill writer

Cause: the thin whole path needs a way from a caller's bytes to an upstream and back. Weighed: one coroutine a request on one thread against a thread pool; one thread lets the controllers share the blackboard without locks. Connections to upstreams are fresh for each attempt, so that 'not run' follows from the step that was reached; the check of configuration and version stands between connect and the first byte. Conclusion: flows are in place for the daemon.

--- /dev/null
+++ b/include/parsleyvane/net/chatflow.h
@@ -0,0 +1,63 @@
+/**
+ * @file
+ * @brief One chat completion: its session, its cascade of models, its answer and its bill.
+ */
+#pragma once
+
+#include "parsleyvane/net/router.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+#include <vector>
+
+namespace parsleyvane {
+
+/**
+ * @brief Serves one chat completion.
+ *
+ * The models of a cascade are asked in turn until an answer passes its rating; the last one's answer is taken as it
+ * is. A session stays on the version that answered its first turn. The end of the answer is held back for the bill.
+ */
+class ChatFlow
+{
+public:
+    // constructors
+    ChatFlow(RouterContext &context, Exchange &exchange, const Admission &admission, const ModelTask &task);
+
+    // modifiers
+    /// @brief Runs to the end; returns why there is no whole answer, or nothing.
+    boost::asio::awaitable<std::optional<Failure>> run();
+
+private:
+    struct Stage
+    {
+        ModelVersion version;
+        bool last = false; ///< its answer is taken whatever its rating, and streams as it comes
+    };
+
+    bool readSession(LastReason &reason);
+    std::optional<std::vector<ModelName>> chain(LastReason &reason) const;
+    std::optional<ModelVersion> chooseStage(const ModelName &model, LastReason &reason) const;
+    boost::asio::awaitable<bool> runChain(LastReason &reason);
+    boost::asio::awaitable<bool> runStage(Stage stage, LastReason &reason);
+    boost::asio::awaitable<bool> passes(const ModelAnswer &answer);
+    boost::asio::awaitable<bool> deliver(std::string text);
+    boost::asio::awaitable<bool> begin();
+    boost::asio::awaitable<bool> finish(LastReason &reason);
+    ModelQuestion question(const Stage &stage) const;
+    Bill bill() const;
+
+    RouterContext &context;
+    Exchange &exchange;
+    const Admission &admission;
+    const ModelTask &task;
+    ChatRequest chat;
+    std::optional<Session> session;
+    bool newSession = false;
+    AnswerFacts facts;
+    std::string answerText;
+    std::optional<ChatEvents> events;
+    RunState soFar = RunState::NotRun;
+};
+
+} // namespace parsleyvane
--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -48,7 +48,7 @@
  *
  * @code
  * HttpCall call(executor, "engine-1", endpoint, limits);
- * if (co_await call.send(request, reason)) {
+ * if (co_await call.connect(reason) && co_await call.send(request, reason)) {
  *     const auto response = co_await call.readWhole(reason);
  * }
  * @endcode
@@ -62,7 +62,9 @@
              CallLimits limits = {});
 
     // modifiers
-    /// @brief Connects and sends. @param reason ConnectFailed or UpstreamLost
+    /// @brief Connects; nothing is sent yet. @param reason ConnectFailed
+    boost::asio::awaitable<bool> connect(LastReason &reason);
+    /// @brief Sends the request. @pre connect() succeeded @param reason UpstreamLost
     boost::asio::awaitable<bool> send(const HttpRequest &request, LastReason &reason);
     /// @brief Reads the whole response. @param reason UpstreamLost, UpstreamSilent or BadUpstreamData
     boost::asio::awaitable<std::optional<HttpResponse>> readWhole(LastReason &reason);
@@ -77,6 +79,11 @@
     void close() noexcept;
 
     // observers
+    /// @brief The peer's name.
+    const std::string &name() const noexcept
+    {
+        return this->peer;
+    }
     /// @brief How far the call came.
     const CallProgress &progress() const noexcept
     {
--- /dev/null
+++ b/include/parsleyvane/net/modelcall.h
@@ -0,0 +1,108 @@
+/**
+ * @file
+ * @brief Has one version answer one prompt, over as many attempts and upstreams as it takes.
+ */
+#pragma once
+
+#include "parsleyvane/net/routercontext.h"
+#include "parsleyvane/stream/assembler.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace parsleyvane {
+
+/// @brief What is asked of a version.
+struct ModelQuestion
+{
+    RequestId request;
+    AccountId account;
+    ModelVersion version;
+    bool pinnedSession = false;
+    std::string prompt;
+    unsigned maxTokens = 256;
+    int priority = 0; ///< the engine's number, higher first
+    bool claimed = false; ///< whether priority was claimed for it
+    bool repeatable = false;
+    bool resumable = false;
+    Milliseconds maxWait{30000}; ///< without progress
+};
+
+/// @brief A whole answer.
+struct ModelAnswer
+{
+    std::string text;
+    Usage usage;
+    unsigned attempts = 0;
+    std::optional<TimePoint> firstTokenAt;
+};
+
+/// @brief Receives the answer's text in order; returns false when the caller is gone.
+using TextSink = std::function<boost::asio::awaitable<bool>(std::string)>;
+
+/**
+ * @brief One question to one version.
+ *
+ * An answer cut short, silent or interrupted is resumed at its offset at another upstream. Before each dispatch the
+ * configuration then in force is checked for the account, the version and its own freshness.
+ */
+class ModelCall
+{
+public:
+    // constructors
+    /// @param sink where text goes as it comes; empty to only collect it
+    ModelCall(RouterContext &context, ModelQuestion question, TextSink sink);
+
+    // modifiers
+    /// @brief Runs to the end. @param reason why there is no whole answer, with the run state over all attempts
+    boost::asio::awaitable<std::optional<ModelAnswer>> run(LastReason &reason);
+
+    // observers
+    /// @brief Whether any text reached the sink.
+    bool begun() const noexcept
+    {
+        return this->firstTokenAt.has_value();
+    }
+
+private:
+    struct Completed
+    {
+    };
+    struct CallerGone
+    {
+    };
+    struct Interrupted
+    {
+    };
+    struct Failed
+    {
+        Failure failure;
+    };
+    using AttemptResult = std::variant<Completed, CallerGone, Interrupted, Failed>;
+
+    boost::asio::awaitable<AttemptResult> attempt(UpstreamId upstream);
+    boost::asio::awaitable<AttemptResult> stream(HttpCall &call, const AttemptId &id);
+    boost::asio::awaitable<std::optional<Failure>> readRefusal(HttpCall &call, int status);
+    std::optional<UpstreamId> choose(LastReason &reason);
+    std::optional<Failure> dispatchCheck() const;
+    void makeRoom(const UpstreamId &upstream);
+    std::string body(const AttemptId &id) const;
+    boost::asio::awaitable<bool> waitAfter(const Failure &failure, LastReason &reason);
+
+    RouterContext &context;
+    ModelQuestion question;
+    TextSink sink;
+    AnswerAssembler assembler;
+    std::set<UpstreamId> tried;
+    RunState soFar = RunState::NotRun;
+    unsigned attempts = 0;
+    unsigned attemptsWithoutProgress = 0;
+    unsigned interruptions = 0;
+    TimePoint deadline;
+    std::optional<TimePoint> firstTokenAt;
+};
+
+} // namespace parsleyvane
--- /dev/null
+++ b/src/core/eventparser.cpp
@@ -0,0 +1,45 @@
+#include "parsleyvane/stream/eventparser.h"
+
+namespace parsleyvane {
+
+EventParser::EventParser(std::size_t maxLineBytes)
+    : maxLineBytes(maxLineBytes)
+{
+}
+
+std::optional<std::vector<std::string>> EventParser::feed(std::string_view bytes, LastReason &reason)
+{
+    std::vector<std::string> payloads;
+    this->rest.append(bytes);
+    std::size_t begin = 0;
+    for (std::size_t end = this->rest.find('\n'); end != std::string::npos; end = this->rest.find('\n', begin)) {
+        this->takeLine(std::string_view(this->rest).substr(begin, end - begin), payloads);
+        begin = end + 1;
+    }
+    this->rest.erase(0, begin);
+    if (this->rest.size() > this->maxLineBytes) {
+        return reason.fail({.id = ErrorId::BadUpstreamData,
+                            .step = Step::Answer,
+                            .runState = RunState::Unknown,
+                            .detail = "an event's line is over its bound"});
+    }
+    return payloads;
+}
+
+void EventParser::takeLine(std::string_view line, std::vector<std::string> &payloads) const
+{
+    constexpr std::string_view field = "data:";
+    if (!line.starts_with(field)) {
+        return;
+    }
+    line.remove_prefix(field.size());
+    if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+    }
+    if (line.ends_with('\r')) {
+        line.remove_suffix(1);
+    }
+    payloads.emplace_back(line);
+}
+
+} // namespace parsleyvane
--- a/src/net/blockingclient.cpp
+++ b/src/net/blockingclient.cpp
@@ -17,7 +17,7 @@
 asio::awaitable<void> streamCall(HttpCall &call, const HttpRequest &request, const PieceHandler &onPiece,
                                  std::optional<HttpResponse> &response, LastReason &reason)
 {
-    if (!co_await call.send(request, reason)) {
+    if (!co_await call.connect(reason) || !co_await call.send(request, reason)) {
         co_return;
     }
     const auto status = co_await call.readHead(reason);
--- /dev/null
+++ b/src/net/chatflow.cpp
@@ -0,0 +1,284 @@
+#include "parsleyvane/net/chatflow.h"
+
+#include "parsleyvane/core/clock.h"
+#include "parsleyvane/core/digest.h"
+#include "parsleyvane/routing/versionchoice.h"
+
+namespace parsleyvane {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Priorities as engines see them.
+constexpr int priorityClaimed = 100;
+constexpr int priorityNormal = 10;
+constexpr int priorityResumable = 1;
+/// Rounds of choosing a version anew because the chosen one was withdrawn meanwhile.
+constexpr unsigned maxRechoices = 3;
+
+MicroCost costOf(const Usage &usage, const Configuration &configuration, const ModelVersion &version)
+{
+    constexpr std::int64_t million = 1000000;
+    const VersionEntry *entry = configuration.findVersion(version);
+    const std::int64_t price = entry != nullptr ? entry->costPerMillionTokens.value() : 0;
+    const std::int64_t tokens = usage.promptTokens.value() + usage.outputTokens.value();
+    return MicroCost(tokens * price / million);
+}
+
+} // namespace
+
+ChatFlow::ChatFlow(RouterContext &context, Exchange &exchange, const Admission &admission, const ModelTask &task)
+    : context(context)
+    , exchange(exchange)
+    , admission(admission)
+    , task(task)
+{
+    this->facts.request = admission.request;
+}
+
+asio::awaitable<std::optional<Failure>> ChatFlow::run()
+{
+    LastReason reason;
+    auto parsed = parseChatRequest(this->exchange.request().body(), reason);
+    if (!parsed) {
+        co_return reason.failure();
+    }
+    this->chat = std::move(*parsed);
+    if (!this->readSession(reason)) {
+        co_return reason.failure();
+    }
+    if (!co_await this->runChain(reason) || !co_await this->finish(reason)) {
+        co_return reason.failure();
+    }
+    co_return std::nullopt;
+}
+
+bool ChatFlow::readSession(LastReason &reason)
+{
+    const std::string token = this->exchange.header("Parsleyvane-Session");
+    if (token.empty()) {
+        return true;
+    }
+    if (token == "new") {
+        this->newSession = true;
+        return true;
+    }
+    const Configuration &configuration = *this->admission.configuration;
+    this->session = checkToken(configuration, this->admission.account->id, token, reason);
+    if (!this->session) {
+        return false;
+    }
+    if (auto refusal = sessionRefusal(configuration, *this->session)) {
+        reason.fail(*refusal);
+        return false;
+    }
+    return true;
+}
+
+std::optional<std::vector<ModelName>> ChatFlow::chain(LastReason &reason) const
+{
+    if (!this->chat.model) {
+        return this->task.chain;
+    }
+    for (const ModelName &model : this->task.chain) {
+        if (model == *this->chat.model) {
+            return std::vector<ModelName>{model};
+        }
+    }
+    return reason.fail({.id = ErrorId::ModelNotAllowed,
+                        .step = Step::Route,
+                        .detail = "the task does not permit the model " + this->chat.model->str()});
+}
+
+std::optional<ModelVersion> ChatFlow::chooseStage(const ModelName &model, LastReason &reason) const
+{
+    const Configuration &configuration = *this->context.blackboard.configuration;
+    const Account *account = configuration.findAccount(this->admission.account->id);
+    if (account == nullptr) {
+        return reason.fail(
+            {.id = ErrorId::ModelNotAllowed, .step = Step::Route, .detail = "the client account is gone"});
+    }
+    if (!this->chat.version) {
+        return chooseVersion(configuration, *account, model, this->facts.request.str(), reason);
+    }
+    const ModelVersion named{model, *this->chat.version};
+    if (auto refusal = versionRefusal(configuration, account->id, named, false)) {
+        return reason.fail(*refusal);
+    }
+    return named;
+}
+
+asio::awaitable<bool> ChatFlow::runChain(LastReason &reason)
+{
+    if (this->session) {
+        const Stage pinned{this->session->pinned, true};
+        co_return co_await this->runStage(pinned, reason);
+    }
+    const auto models = this->chain(reason);
+    if (!models) {
+        co_return false;
+    }
+    for (std::size_t i = 0; i < models->size(); ++i) {
+        const bool last = i + 1 == models->size();
+        for (unsigned round = 0; round < maxRechoices; ++round) {
+            const auto version = this->chooseStage(models->at(i), reason);
+            if (!version) {
+                break;
+            }
+            const Stage stage{*version, last};
+            if (co_await this->runStage(stage, reason)) {
+                co_return true;
+            }
+            const bool versionGone = reason.failure().step == Step::Route && reason.failure().id == ErrorId::NoCapacity;
+            if (!versionGone || this->exchange.answered()) {
+                break;
+            }
+        }
+        if (this->exchange.answered()) {
+            co_return false;
+        }
+    }
+    Failure failure = reason.failure();
+    failure.runState = combine(this->soFar, failure.runState);
+    reason.fail(failure);
+    co_return false;
+}
+
+asio::awaitable<bool> ChatFlow::runStage(Stage stage, LastReason &reason)
+{
+    this->facts.asked.push_back(stage.version);
+    this->facts.version = stage.version;
+    TextSink sink;
+    if (stage.last && this->chat.stream) {
+        sink = [this](std::string text) {
+            return this->deliver(std::move(text));
+        };
+    }
+    ModelCall call(this->context, this->question(stage), std::move(sink));
+    auto answer = co_await call.run(reason);
+    if (!answer) {
+        this->soFar = combine(this->soFar, reason.failure().runState);
+        co_return false;
+    }
+    this->soFar = RunState::Ran;
+    this->facts.attempts += answer->attempts;
+    this->facts.usage.promptTokens += answer->usage.promptTokens;
+    this->facts.usage.cachedTokens += answer->usage.cachedTokens;
+    this->facts.usage.outputTokens += answer->usage.outputTokens;
+    this->facts.cost += costOf(answer->usage, *this->admission.configuration, stage.version);
+    this->context.metrics.countTokens(answer->usage.outputTokens);
+    if (!stage.last && !co_await this->passes(*answer)) {
+        this->context.metrics.countEvent("escalated");
+        reason.fail({.id = ErrorId::UpstreamError,
+                     .step = Step::Answer,
+                     .runState = RunState::Ran,
+                     .detail = "not good enough"});
+        co_return false;
+    }
+    if (answer->firstTokenAt) {
+        this->facts.firstToken = *answer->firstTokenAt - this->admission.receivedAt;
+    }
+    const bool streamed = stage.last && this->chat.stream;
+    this->answerText = std::move(answer->text);
+    if (this->chat.stream && !streamed) {
+        co_return co_await this->deliver(this->answerText);
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> ChatFlow::passes(const ModelAnswer &answer)
+{
+    LastReason reason;
+    const auto rating = co_await this->context.platform.rate(this->admission.account->id, this->admission.task->name,
+                                                             this->chat.prompt, answer.text, reason);
+    if (!rating) {
+        // Without a rating the answer is not known to be good; the next model is asked.
+        this->context.metrics.countEvent("rating_failed");
+        co_return false;
+    }
+    this->context.metrics.countEvent("rated");
+    co_return rating->passed;
+}
+
+asio::awaitable<bool> ChatFlow::deliver(std::string text)
+{
+    if (!this->exchange.answered() && !co_await this->begin()) {
+        co_return false;
+    }
+    std::string event = this->events->piece(text);
+    co_return co_await this->exchange.write(std::move(event));
+}
+
+asio::awaitable<bool> ChatFlow::begin()
+{
+    this->events.emplace(this->facts.request, this->facts.version);
+    this->exchange.addHeader({"Parsleyvane-Version", versionText(this->facts.version)});
+    if (this->newSession) {
+        LastReason reason;
+        const Session started{randomId(), this->admission.account->id, this->facts.version};
+        const auto token = issueToken(*this->admission.configuration, started, reason);
+        this->exchange.addHeader({"Parsleyvane-Session", token.value_or("")});
+    } else if (this->session) {
+        this->exchange.addHeader({"Parsleyvane-Session", this->exchange.header("Parsleyvane-Session")});
+    }
+    if (this->chat.stream) {
+        co_return co_await this->exchange.beginStream("text/event-stream");
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> ChatFlow::finish(LastReason &reason)
+{
+    Bill bill = this->bill();
+    if (!co_await this->context.bills.settle(std::move(bill))) {
+        reason.fail({.id = ErrorId::StoreUnavailable,
+                     .step = Step::Bill,
+                     .peer = "platform",
+                     .runState = RunState::Ran,
+                     .detail = "the bill could not be held"});
+        co_return false;
+    }
+    if (!this->exchange.answered() && !co_await this->begin()) {
+        co_return true;
+    }
+    if (this->chat.stream) {
+        std::string end = this->events->end(this->facts);
+        if (co_await this->exchange.write(std::move(end))) {
+            co_await this->exchange.endStream();
+        }
+        co_return true;
+    }
+    std::string body = chatBody(this->answerText, this->facts);
+    co_await this->exchange.respond(200, "application/json", std::move(body));
+    co_return true;
+}
+
+ModelQuestion ChatFlow::question(const Stage &stage) const
+{
+    ModelQuestion question;
+    question.request = this->facts.request;
+    question.account = this->admission.account->id;
+    question.version = stage.version;
+    question.pinnedSession = this->session.has_value();
+    question.prompt = this->chat.prompt;
+    question.maxTokens = std::min(this->chat.maxTokens.value_or(this->task.maxTokens), this->task.maxTokens);
+    question.claimed = this->admission.claimed;
+    question.repeatable = this->admission.task->repeatable;
+    question.resumable = this->task.resumable && !this->admission.claimed;
+    question.maxWait = this->admission.maxWait;
+    question.priority = this->task.resumable ? priorityResumable : priorityNormal;
+    if (this->admission.claimed) {
+        question.priority = priorityClaimed;
+    }
+    return question;
+}
+
+Bill ChatFlow::bill() const
+{
+    return {this->facts.request, this->admission.account->id,    this->admission.task->name,
+            this->facts.version, this->facts.usage.promptTokens, this->facts.usage.outputTokens,
+            this->facts.cost};
+}
+
+} // namespace parsleyvane
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -26,25 +26,30 @@
 {
 }
 
-asio::awaitable<bool> HttpCall::send(const HttpRequest &request, LastReason &reason)
+asio::awaitable<bool> HttpCall::connect(LastReason &reason)
 {
     boost::system::error_code error;
-    auto token = asio::redirect_error(asio::use_awaitable, error);
     this->reached.step = Step::Connect;
     this->stream.expires_after(this->limits.connect);
-    co_await this->stream.async_connect(this->endpoint, token);
+    co_await this->stream.async_connect(this->endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         reason.fail(this->failureOf(error));
         co_return false;
     }
     boost::system::error_code ignored;
     this->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return true;
+}
+
+asio::awaitable<bool> HttpCall::send(const HttpRequest &request, LastReason &reason)
+{
+    boost::system::error_code error;
     this->reached.step = Step::Send;
     this->stream.expires_after(this->limits.progress);
     http::serializer<true, http::string_body> serializer(request);
     // The write may fail after the kernel took some of it: from here on, bytes count as sent.
     this->reached.bytesSent = request.body().size() + 1;
-    co_await http::async_write(this->stream, serializer, token);
+    co_await http::async_write(this->stream, serializer, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         reason.fail(this->failureOf(error));
         co_return false;
@@ -154,7 +159,7 @@
 {
     HttpCall call(co_await asio::this_coro::executor, std::move(peer), std::move(endpoint), limits);
     std::optional<HttpResponse> response;
-    if (co_await call.send(request, reason)) {
+    if (co_await call.connect(reason) && co_await call.send(request, reason)) {
         response = co_await call.readWhole(reason);
     }
     progress = call.progress();
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,237 @@
+#include "parsleyvane/net/httpserver.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+namespace parsleyvane {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int statusOk = 200;
+const std::string jsonType = "application/json";
+
+std::string reasonPhrase(int status)
+{
+    return std::string(http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status))));
+}
+
+std::string headText(int status, const std::string &contentType, const std::vector<HttpHeader> &headers, bool keepAlive)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+    head.append("Content-Type: ").append(contentType).append("\r\n");
+    for (const HttpHeader &header : headers) {
+        head.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+    head.append(keepAlive ? "Connection: keep-alive\r\n" : "Connection: close\r\n");
+    return head;
+}
+
+/// The body of a chunk in chunked transfer coding (RFC 9112, section 7.1).
+std::string chunkText(const std::string &piece)
+{
+    constexpr int hexDigits = 16;
+    std::array<char, hexDigits> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), piece.size(), hexDigits).ptr;
+    std::string text(size.data(), end);
+    return text.append("\r\n").append(piece).append("\r\n");
+}
+
+Failure receiveFailure(const boost::system::error_code &error)
+{
+    Failure failure{.id = ErrorId::MalformedRequest, .step = Step::Receive, .detail = error.message()};
+    if (error == http::error::body_limit || error == http::error::header_limit) {
+        failure.id = ErrorId::TooLarge;
+    } else if (error == beast::error::timeout) {
+        failure.id = ErrorId::TooSlow;
+    }
+    return failure;
+}
+
+/// Whether the caller merely closed the connection, or it broke, so that no answer can reach it.
+bool isGone(const boost::system::error_code &error)
+{
+    return error == http::error::end_of_stream || error == http::error::partial_message || error == asio::error::eof
+        || error == asio::error::connection_reset || error == asio::error::operation_aborted;
+}
+
+} // namespace
+
+std::string failureJson(const Failure &failure)
+{
+    const Json error{{"id", static_cast<int>(failure.id)},    {"name", errorName(failure.id)},
+                     {"step", stepName(failure.step)},        {"peer", failure.peer},
+                     {"run", runStateName(failure.runState)}, {"message", failure.detail}};
+    return Json{{"error", error}}.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+Exchange::Exchange(beast::tcp_stream &stream, HttpRequest request, Milliseconds writeTimeout)
+    : stream(stream)
+    , received(std::move(request))
+    , writeTimeout(writeTimeout)
+{
+}
+
+std::string Exchange::header(const std::string &name) const
+{
+    return std::string(this->received[name]);
+}
+
+void Exchange::addHeader(HttpHeader header)
+{
+    this->headers.push_back(std::move(header));
+}
+
+asio::awaitable<bool> Exchange::respond(int status, std::string contentType, std::string body)
+{
+    this->begun = true;
+    std::string bytes = headText(status, contentType, this->headers, this->received.keep_alive());
+    bytes.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    this->whole = co_await this->writeRaw(std::move(bytes));
+    co_return this->whole;
+}
+
+asio::awaitable<bool> Exchange::respond(Failure failure)
+{
+    if (this->begun) {
+        // A stream that ends in an error has no [DONE] and no proper end, so that it cannot look finished.
+        std::string event = "data: " + failureJson(failure) + "\n\n";
+        co_return co_await this->write(std::move(event));
+    }
+    if (failure.retryAfter) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*failure.retryAfter);
+        this->addHeader({"Retry-After", std::to_string(seconds.count())});
+    }
+    co_return co_await this->respond(httpStatus(failure.id), jsonType, failureJson(failure));
+}
+
+asio::awaitable<bool> Exchange::beginStream(std::string contentType)
+{
+    this->begun = true;
+    std::string bytes = headText(statusOk, contentType, this->headers, this->received.keep_alive());
+    bytes.append("Transfer-Encoding: chunked\r\nCache-Control: no-store\r\n\r\n");
+    co_return co_await this->writeRaw(std::move(bytes));
+}
+
+asio::awaitable<bool> Exchange::write(std::string piece)
+{
+    std::string bytes = chunkText(piece);
+    co_return co_await this->writeRaw(std::move(bytes));
+}
+
+asio::awaitable<bool> Exchange::endStream()
+{
+    std::string bytes = "0\r\n\r\n";
+    this->whole = co_await this->writeRaw(std::move(bytes));
+    co_return this->whole;
+}
+
+asio::awaitable<bool> Exchange::writeRaw(std::string bytes)
+{
+    boost::system::error_code error;
+    this->stream.expires_after(this->writeTimeout);
+    const auto buffer = asio::buffer(bytes);
+    co_await asio::async_write(this->stream, buffer, asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+HttpServer::HttpServer(asio::io_context &context, ServerLimits limits, ExchangeHandler handler)
+    : context(context)
+    , limits(limits)
+    , handler(std::move(handler))
+    , acceptor(context)
+{
+}
+
+bool HttpServer::listen(const asio::ip::tcp::endpoint &endpoint, LastReason &reason)
+{
+    boost::system::error_code error;
+    this->acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        this->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        this->acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        const std::string where = endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+        reason.fail({.id = ErrorId::InvalidSetting, .step = Step::Configure, .peer = where, .detail = error.message()});
+        return false;
+    }
+    asio::co_spawn(this->context, this->acceptLoop(), asio::detached);
+    return true;
+}
+
+void HttpServer::stopAccepting()
+{
+    this->accepting = false;
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+asio::awaitable<void> HttpServer::acceptLoop()
+{
+    while (this->accepting) {
+        boost::system::error_code error;
+        auto socket = co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+            co_return;
+        }
+        if (error || this->open >= this->limits.connections) {
+            continue;
+        }
+        asio::co_spawn(this->context, this->serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> HttpServer::serve(asio::ip::tcp::socket socket)
+{
+    ++this->open;
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    try {
+        while (this->accepting && co_await this->serveOne(stream, buffer)) { }
+    } catch (const std::exception &error) {
+        LOG(ERROR) << "a request ended in an exception: " << error.what();
+    }
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    --this->open;
+}
+
+asio::awaitable<bool> HttpServer::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+{
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(this->limits.headBytes);
+    parser.body_limit(this->limits.bodyBytes);
+    stream.expires_after(this->limits.requestTimeout);
+    boost::system::error_code error;
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error && isGone(error)) {
+        co_return false;
+    }
+    Exchange exchange(stream, parser.release(), this->limits.writeTimeout);
+    if (error) {
+        co_await exchange.respond(receiveFailure(error));
+        co_return false;
+    }
+    co_await this->handler(exchange);
+    co_return exchange.reusable();
+}
+
+} // namespace parsleyvane
--- /dev/null
+++ b/src/net/modelcall.cpp
@@ -0,0 +1,325 @@
+#include "parsleyvane/net/modelcall.h"
+
+#include "parsleyvane/core/clock.h"
+#include "parsleyvane/core/digest.h"
+#include "parsleyvane/net/sleep.h"
+#include "parsleyvane/routing/versionchoice.h"
+#include "parsleyvane/stream/eventparser.h"
+
+#include <nlohmann/json.hpp>
+
+namespace parsleyvane {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+/// How long a failed upstream is left alone.
+constexpr Milliseconds avoidAfterFailure{1000};
+/// Between an interruption and the next attempt, so that the claimed request takes the place.
+constexpr Milliseconds pauseAfterInterruption{200};
+/// A request that was interrupted this often is not interrupted again, so that it arrives.
+constexpr unsigned maxInterruptions = 3;
+constexpr std::size_t prefixBytes = 256;
+
+Failure callerGone()
+{
+    return {.id = ErrorId::AnswerIncomplete,
+            .step = Step::Reply,
+            .runState = RunState::Ran,
+            .detail = "the caller is gone"};
+}
+
+/// Ends the record of an attempt when the attempt ends, however it does.
+class ActiveGuard
+{
+public:
+    ActiveGuard(RouterContext &context, AttemptId id, ActiveAttempt attempt)
+        : context(context)
+        , id(std::move(id))
+    {
+        this->context.active[this->id] = std::move(attempt);
+    }
+    ActiveGuard(const ActiveGuard &) = delete;
+    ActiveGuard &operator=(const ActiveGuard &) = delete;
+    ~ActiveGuard()
+    {
+        this->context.active.erase(this->id);
+    }
+    bool interrupted() const
+    {
+        return this->context.active.at(this->id).interrupted;
+    }
+
+private:
+    RouterContext &context;
+    AttemptId id;
+};
+
+} // namespace
+
+ModelCall::ModelCall(RouterContext &context, ModelQuestion question, TextSink sink)
+    : context(context)
+    , question(std::move(question))
+    , sink(std::move(sink))
+    , deadline(bootTime() + this->question.maxWait)
+{
+}
+
+asio::awaitable<std::optional<ModelAnswer>> ModelCall::run(LastReason &reason)
+{
+    this->context.retryBudget.onFirstTry();
+    while (true) {
+        const auto upstream = this->choose(reason);
+        AttemptResult result = Failed{reason.failure()};
+        if (upstream) {
+            result = co_await this->attempt(*upstream);
+        }
+        if (std::holds_alternative<Completed>(result)) {
+            co_return ModelAnswer{this->assembler.text(), this->assembler.usage(), this->attempts, this->firstTokenAt};
+        }
+        if (std::holds_alternative<CallerGone>(result)) {
+            co_return reason.fail(callerGone());
+        }
+        if (std::holds_alternative<Interrupted>(result)) {
+            ++this->interruptions;
+            co_await sleepFor(pauseAfterInterruption);
+            continue;
+        }
+        Failure failure = std::get<Failed>(std::move(result)).failure;
+        if (upstream) {
+            this->tried.insert(*upstream);
+            this->context.metrics.countAttempt(*upstream, errorName(failure.id));
+        }
+        if (!co_await this->waitAfter(failure, reason)) {
+            co_return std::nullopt;
+        }
+    }
+}
+
+asio::awaitable<bool> ModelCall::waitAfter(const Failure &failure, LastReason &reason)
+{
+    this->soFar = combine(this->soFar, failure.runState);
+    if (failure.step == Step::Route && !failure.retryAfter) {
+        // The account or the version no longer permits this work; waiting does not help.
+        Failure last = failure;
+        last.runState = this->soFar;
+        reason.fail(last);
+        co_return false;
+    }
+    const TimePoint now = bootTime();
+    const RetryQuestion retry{.repeatable = this->question.repeatable,
+                              .soFar = this->soFar,
+                              .attempts = this->attemptsWithoutProgress,
+                              .now = now,
+                              .deadline = this->deadline,
+                              .latest = failure};
+    // A long write-up waits for room as long as its answers allow; it spends no retry, since it adds no load.
+    if (this->question.resumable && failure.retryAfter && failure.runState == RunState::NotRun
+        && now + *failure.retryAfter < this->deadline) {
+        co_await sleepFor(*failure.retryAfter);
+        co_return true;
+    }
+    const RetryDecision decision = decideRetry(retry, this->context.retryBudget);
+    if (const auto *giveUp = std::get_if<GiveUp>(&decision)) {
+        reason.fail(giveUp->failure);
+        co_return false;
+    }
+    this->context.metrics.countEvent("retry");
+    const TimePoint notBefore = std::get<TryAgain>(decision).notBefore;
+    if (notBefore > now) {
+        co_await sleepFor(notBefore - now);
+    }
+    co_return true;
+}
+
+std::optional<UpstreamId> ModelCall::choose(LastReason &reason)
+{
+    if (auto refusal = this->dispatchCheck()) {
+        return reason.fail(*refusal);
+    }
+    const PlacementQuestion place{this->question.version, this->question.prompt.substr(0, prefixBytes), this->tried};
+    auto upstream = this->context.placement.chooseEngine(this->context.blackboard, place, bootTime(), reason);
+    if (!upstream && !this->tried.empty()) {
+        this->tried.clear();
+        const PlacementQuestion again{this->question.version, place.prefix, {}};
+        upstream = this->context.placement.chooseEngine(this->context.blackboard, again, bootTime(), reason);
+    }
+    return upstream;
+}
+
+std::optional<Failure> ModelCall::dispatchCheck() const
+{
+    if (auto refusal = dispatchRefusal(this->context.blackboard, bootTime(), true)) {
+        return refusal;
+    }
+    return versionRefusal(*this->context.blackboard.configuration, this->question.account, this->question.version,
+                          this->question.pinnedSession);
+}
+
+void ModelCall::makeRoom(const UpstreamId &upstream)
+{
+    const Upstream *entry = this->context.blackboard.configuration->findUpstream(upstream);
+    const auto *engine = entry != nullptr ? std::get_if<Engine>(&entry->kind) : nullptr;
+    const UpstreamView &view = this->context.blackboard.upstreams[upstream];
+    const unsigned load = std::max(view.inFlightHere, view.reportedRunning + view.reportedWaiting);
+    if (engine == nullptr || load < engine->slots) {
+        return;
+    }
+    if (interruptResumable(this->context, upstream, 1) == 0 && this->context.askPeersForRoom) {
+        this->context.askPeersForRoom(upstream, this->question.account, 1);
+    }
+}
+
+asio::awaitable<ModelCall::AttemptResult> ModelCall::attempt(UpstreamId upstream)
+{
+    LastReason reason;
+    const auto endpoint = endpointOf(this->context.blackboard, upstream, reason);
+    if (!endpoint) {
+        co_return Failed{reason.failure()};
+    }
+    ++this->attempts;
+    ++this->attemptsWithoutProgress;
+    if (this->question.claimed) {
+        this->makeRoom(upstream);
+    }
+    const AttemptId id(randomId());
+    HttpCall call(this->context.io.get_executor(), upstream.str(), *endpoint, this->context.upstreamLimits);
+    const InFlightGuard inFlight(this->context.blackboard, upstream);
+    const bool interruptible = this->question.resumable && this->interruptions < maxInterruptions;
+    const ActiveAttempt record{upstream, interruptible, false, bootTime(), &call};
+    const ActiveGuard active(this->context, id, record);
+    if (!co_await call.connect(reason)) {
+        avoidUpstream(this->context, upstream, bootTime() + avoidAfterFailure);
+        co_return Failed{reason.failure()};
+    }
+    // The last moment before bytes leave: a change that came while this request waited counts.
+    if (auto refusal = this->dispatchCheck()) {
+        co_return Failed{*refusal};
+    }
+    const HttpRequest request = makeRequest(http::verb::post, "/generate", this->body(id));
+    const bool sent = co_await call.send(request, reason);
+    AttemptResult result = Failed{reason.failure()};
+    if (sent) {
+        result = co_await this->stream(call, id);
+    }
+    if (active.interrupted() && !std::holds_alternative<Completed>(result)) {
+        this->soFar = combine(this->soFar, RunState::Unknown);
+        co_return Interrupted{};
+    }
+    if (std::holds_alternative<Failed>(result)) {
+        avoidUpstream(this->context, upstream, bootTime() + avoidAfterFailure);
+    } else if (std::holds_alternative<Completed>(result)) {
+        this->context.metrics.countAttempt(upstream, "ok");
+    }
+    co_return result;
+}
+
+asio::awaitable<ModelCall::AttemptResult> ModelCall::stream(HttpCall &call, const AttemptId &id)
+{
+    LastReason reason;
+    const auto status = co_await call.readHead(reason);
+    if (!status) {
+        co_return Failed{reason.failure()};
+    }
+    if (*status != statusOk) {
+        const auto refusal = co_await this->readRefusal(call, *status);
+        co_return Failed{*refusal};
+    }
+    EventParser events;
+    this->assembler.beginAttempt(id);
+    while (!this->assembler.complete()) {
+        const auto bytes = co_await call.readSome(reason);
+        if (!bytes) {
+            co_return Failed{reason.failure()};
+        }
+        if (bytes->empty()) {
+            co_return Failed{{.id = ErrorId::AnswerIncomplete,
+                              .step = Step::Answer,
+                              .runState = RunState::Unknown,
+                              .detail = "the stream ended without its end"}};
+        }
+        const auto payloads = events.feed(*bytes, reason);
+        if (!payloads) {
+            co_return Failed{reason.failure()};
+        }
+        std::string text;
+        for (const std::string &payload : *payloads) {
+            const auto chunk = parseChunk(payload, reason);
+            const auto next = chunk ? this->assembler.accept(*chunk, reason) : std::nullopt;
+            if (!next) {
+                co_return Failed{reason.failure()};
+            }
+            text.append(*next);
+        }
+        if (text.empty()) {
+            continue;
+        }
+        const TimePoint now = bootTime();
+        if (!this->firstTokenAt) {
+            this->firstTokenAt = now;
+        }
+        this->attemptsWithoutProgress = 0;
+        this->deadline = std::max(this->deadline, now + this->question.maxWait);
+        if (this->sink && !co_await this->sink(std::move(text))) {
+            co_return CallerGone{};
+        }
+    }
+    co_return Completed{};
+}
+
+asio::awaitable<std::optional<Failure>> ModelCall::readRefusal(HttpCall &call, int status)
+{
+    LastReason reason;
+    std::string body;
+    while (true) {
+        const auto piece = co_await call.readSome(reason);
+        if (!piece || piece->empty()) {
+            break;
+        }
+        body.append(*piece);
+    }
+    const Json json = Json::parse(body, nullptr, false);
+    const bool unrun = status == statusUnavailable && json.is_object() && json.value("ran", Json()) == Json(false);
+    AttemptEnd end{
+        .step = Step::Answer, .bytesSent = call.progress().bytesSent, .refusedUnrun = unrun, .status = status};
+    Failure failure{.id = unrun ? ErrorId::UpstreamRefused : ErrorId::UpstreamError,
+                    .step = Step::Answer,
+                    .peer = call.name(),
+                    .runState = judge(end),
+                    .detail = "status " + std::to_string(status)};
+    if (!unrun) {
+        co_return failure;
+    }
+    const Json cause = json.value("reason", Json(""));
+    const Json wait = json.value("retryAfterMs", Json());
+    failure.detail = cause.is_string() ? cause.get<std::string>() : "refused";
+    if (wait.is_number_unsigned()) {
+        failure.retryAfter = Milliseconds(wait.get<std::int64_t>());
+    }
+    if (failure.detail == "leaving") {
+        this->context.blackboard.upstreams[UpstreamId(call.name())].leaving = true;
+    }
+    co_return failure;
+}
+
+std::string ModelCall::body(const AttemptId &id) const
+{
+    const Json json{{"attempt", id.str()},
+                    {"request", this->question.request.str()},
+                    {"account", this->question.account.str()},
+                    {"model", this->question.version.model.str()},
+                    {"version", this->question.version.version.str()},
+                    {"prompt", this->question.prompt},
+                    {"maxTokens", this->question.maxTokens},
+                    {"priority", this->question.priority},
+                    {"offset", this->assembler.offset()},
+                    {"prefix", this->assembler.text()}};
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace parsleyvane
--- /dev/null
+++ b/src/net/servicecall.cpp
@@ -0,0 +1,294 @@
+#include "parsleyvane/net/servicecall.h"
+
+#include "parsleyvane/core/clock.h"
+#include "parsleyvane/core/digest.h"
+#include "parsleyvane/net/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+namespace parsleyvane {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+constexpr Milliseconds avoidAfterFailure{1000};
+constexpr Milliseconds cleanUpPause{500};
+
+/// Runs a ledger's write in the table.
+asio::awaitable<WriteReply> writeClaim(const PlatformClient &platform, std::string key, ClaimRow row)
+{
+    Transaction transaction;
+    transaction.checks.push_back({key, row.version});
+    transaction.puts.push_back({key, serialise(row)});
+    const std::uint64_t before = row.version;
+    const TransactionOutcome outcome = co_await platform.transact(std::move(transaction));
+    if (std::holds_alternative<TransactionCommitted>(outcome)) {
+        co_return WriteCommitted{before + 1};
+    }
+    if (std::holds_alternative<TransactionNotSent>(outcome)) {
+        co_return WriteNotSent{};
+    }
+    const auto *conflict = std::get_if<TransactionConflict>(&outcome);
+    if (conflict == nullptr || conflict->rows.empty()) {
+        co_return WriteLost{};
+    }
+    const TableRow &current = conflict->rows.front();
+    if (current.version == 0) {
+        co_return WriteConflict{};
+    }
+    LastReason reason;
+    auto parsed = parseClaimRow(current.value, current.version, reason);
+    if (!parsed) {
+        co_return WriteLost{};
+    }
+    co_return WriteConflict{std::move(*parsed)};
+}
+
+asio::awaitable<ReadReply> readClaim(const PlatformClient &platform, std::string key)
+{
+    LastReason reason;
+    const auto row = co_await platform.readRow(std::move(key), reason);
+    if (!row) {
+        co_return ReadLost{};
+    }
+    if (row->version == 0) {
+        co_return ReadRow{};
+    }
+    auto parsed = parseClaimRow(row->value, row->version, reason);
+    if (!parsed) {
+        co_return ReadLost{};
+    }
+    co_return ReadRow{std::move(*parsed)};
+}
+
+/// Tries the ledger's clean-up until the store has taken it.
+asio::awaitable<void> cleanUp(const PlatformClient &platform, std::string key, RunOnce ledger)
+{
+    while (auto row = ledger.wantsWrite()) {
+        const WriteReply reply = co_await writeClaim(platform, key, std::move(*row));
+        ledger.onCleanUp(reply);
+        co_await sleepFor(cleanUpPause);
+    }
+}
+
+bool saysUnrun(int status, const std::string &body)
+{
+    if (status != statusUnavailable) {
+        return false;
+    }
+    const Json json = Json::parse(body, nullptr, false);
+    return json.is_object() && json.value("ran", Json()) == Json(false);
+}
+
+bool saysLeaving(const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    return json.is_object() && json.value("reason", Json()) == Json("leaving");
+}
+
+bool isAnswer(const LedgerAction &action)
+{
+    return std::holds_alternative<ReplayResult>(action) || std::holds_alternative<DeliverResult>(action)
+        || std::holds_alternative<RefuseRequest>(action);
+}
+
+std::optional<ServiceAnswer> toAnswer(const LedgerAction &action, LastReason &reason)
+{
+    if (const auto *replay = std::get_if<ReplayResult>(&action)) {
+        return ServiceAnswer{replay->status, replay->result, true};
+    }
+    if (const auto *deliver = std::get_if<DeliverResult>(&action)) {
+        return ServiceAnswer{deliver->status, deliver->result, false};
+    }
+    return reason.fail(std::get<RefuseRequest>(action).failure);
+}
+
+const Failure *failureOf(const ServiceReply &reply)
+{
+    if (const auto *notRun = std::get_if<ServiceNotRun>(&reply)) {
+        return &notRun->failure;
+    }
+    const auto *unknown = std::get_if<ServiceUnknown>(&reply);
+    return unknown != nullptr ? &unknown->failure : nullptr;
+}
+
+} // namespace
+
+ServiceCall::ServiceCall(RouterContext &context, ServiceQuestion question)
+    : context(context)
+    , question(std::move(question))
+    , deadline(bootTime() + this->question.maxWait)
+{
+}
+
+asio::awaitable<std::optional<ServiceAnswer>> ServiceCall::run(LastReason &reason)
+{
+    if (this->question.repeatable) {
+        co_return co_await this->runRepeatable(reason);
+    }
+    co_return co_await this->runOnce(reason);
+}
+
+asio::awaitable<std::optional<ServiceAnswer>> ServiceCall::runRepeatable(LastReason &reason)
+{
+    RunState soFar = RunState::NotRun;
+    this->context.retryBudget.onFirstTry();
+    for (unsigned attempts = 1;; ++attempts) {
+        AttemptId attempt(randomId());
+        const ServiceReply reply = co_await this->sendSomewhere(std::move(attempt));
+        if (const auto *answered = std::get_if<ServiceAnswered>(&reply)) {
+            co_return ServiceAnswer{answered->status, answered->result, false};
+        }
+        const Failure &failure = *failureOf(reply);
+        soFar = combine(soFar, failure.runState);
+        const RetryQuestion retry{.repeatable = true,
+                                  .soFar = soFar,
+                                  .attempts = attempts,
+                                  .now = bootTime(),
+                                  .deadline = this->deadline,
+                                  .latest = failure};
+        const RetryDecision decision = decideRetry(retry, this->context.retryBudget);
+        if (const auto *giveUp = std::get_if<GiveUp>(&decision)) {
+            co_return reason.fail(giveUp->failure);
+        }
+        const TimePoint notBefore = std::get<TryAgain>(decision).notBefore;
+        co_await sleepFor(std::max(notBefore - bootTime(), Milliseconds(0)));
+    }
+}
+
+asio::awaitable<std::optional<ServiceAnswer>> ServiceCall::runOnce(LastReason &reason)
+{
+    const std::string key = claimKey(this->question.account, this->question.key);
+    const AttemptId attempt(randomId());
+    RunOnce ledger(attempt, this->question.request,
+                   sha256Hex(this->question.task.operation + "\n" + this->question.body));
+    LedgerAction action = ledger.start();
+    while (!isAnswer(action)) {
+        LedgerAction next = co_await this->carryOut(ledger, std::move(action), attempt);
+        action = std::move(next);
+    }
+    if (ledger.wantsWrite()) {
+        asio::co_spawn(this->context.io, cleanUp(this->context.platform, key, std::move(ledger)), asio::detached);
+    }
+    co_return toAnswer(action, reason);
+}
+
+asio::awaitable<LedgerAction> ServiceCall::carryOut(RunOnce &ledger, LedgerAction action, AttemptId attempt)
+{
+    std::string key = claimKey(this->question.account, this->question.key);
+    if (auto *write = std::get_if<WriteClaim>(&action)) {
+        const WriteReply reply = co_await writeClaim(this->context.platform, std::move(key), std::move(write->row));
+        co_return ledger.onWrite(reply);
+    }
+    if (std::holds_alternative<ReadClaim>(action)) {
+        const ReadReply reply = co_await readClaim(this->context.platform, std::move(key));
+        co_return ledger.onRead(reply);
+    }
+    const ServiceReply reply = co_await this->sendSomewhere(std::move(attempt));
+    co_return ledger.onService(reply);
+}
+
+asio::awaitable<ServiceReply> ServiceCall::sendSomewhere(AttemptId attempt)
+{
+    std::set<UpstreamId> tried;
+    Failure latest;
+    while (true) {
+        if (auto refusal = this->dispatchCheck()) {
+            co_return ServiceNotRun{*refusal};
+        }
+        LastReason reason;
+        auto upstream = this->context.placement.chooseService(this->context.blackboard, this->question.task.service,
+                                                              tried, bootTime(), reason);
+        if (!upstream) {
+            co_return ServiceNotRun{tried.empty() ? reason.failure() : latest};
+        }
+        tried.insert(*upstream);
+        ServiceReply reply = co_await this->sendTo(*upstream, attempt);
+        const auto *notRun = std::get_if<ServiceNotRun>(&reply);
+        if (notRun == nullptr) {
+            co_return reply;
+        }
+        // It provably did not run there, so another instance of the service may be asked under the same claim.
+        latest = notRun->failure;
+    }
+}
+
+std::optional<Failure> ServiceCall::dispatchCheck() const
+{
+    const TimePoint now = bootTime();
+    if (now >= this->deadline) {
+        return Failure{.id = ErrorId::DeadlineExceeded, .step = Step::Route, .detail = "before it was sent"};
+    }
+    return dispatchRefusal(this->context.blackboard, now, true);
+}
+
+asio::awaitable<ServiceReply> ServiceCall::sendTo(UpstreamId upstream, AttemptId attempt)
+{
+    LastReason reason;
+    const auto endpoint = endpointOf(this->context.blackboard, upstream, reason);
+    if (!endpoint) {
+        co_return ServiceNotRun{reason.failure()};
+    }
+    const InFlightGuard inFlight(this->context.blackboard, upstream);
+    HttpCall call(this->context.io.get_executor(), upstream.str(), *endpoint, this->context.upstreamLimits);
+    if (!co_await call.connect(reason)) {
+        avoidUpstream(this->context, upstream, bootTime() + avoidAfterFailure);
+        this->context.metrics.countAttempt(upstream, errorName(reason.failure().id));
+        co_return ServiceNotRun{reason.failure()};
+    }
+    if (auto refusal = this->dispatchCheck()) {
+        co_return ServiceNotRun{*refusal};
+    }
+    const HttpRequest request = this->makeCall(attempt);
+    std::optional<HttpResponse> response;
+    if (co_await call.send(request, reason)) {
+        response = co_await call.readWhole(reason);
+    }
+    if (!response) {
+        avoidUpstream(this->context, upstream, bootTime() + avoidAfterFailure);
+        this->context.metrics.countAttempt(upstream, errorName(reason.failure().id));
+        co_return ServiceUnknown{reason.failure()};
+    }
+    const auto status = static_cast<int>(response->result_int());
+    if (status == statusOk) {
+        this->context.metrics.countAttempt(upstream, "ok");
+        co_return ServiceAnswered{status, std::move(response->body())};
+    }
+    Failure failure{.id = ErrorId::UpstreamError,
+                    .step = Step::Answer,
+                    .peer = upstream.str(),
+                    .runState = RunState::Unknown,
+                    .detail = "status " + std::to_string(status)};
+    if (saysUnrun(status, response->body())) {
+        failure.id = ErrorId::UpstreamRefused;
+        failure.runState = RunState::NotRun;
+        if (saysLeaving(response->body())) {
+            this->context.blackboard.upstreams[upstream].leaving = true;
+        }
+        this->context.metrics.countAttempt(upstream, errorName(failure.id));
+        co_return ServiceNotRun{std::move(failure)};
+    }
+    this->context.metrics.countAttempt(upstream, errorName(failure.id));
+    co_return ServiceUnknown{std::move(failure)};
+}
+
+HttpRequest ServiceCall::makeCall(const AttemptId &attempt) const
+{
+    HttpRequest request
+        = makeRequest(http::verb::post, "/operations/" + this->question.task.operation, this->question.body);
+    const std::string &key = this->question.key.empty() ? this->question.request.str() : this->question.key.str();
+    request.set("Idempotency-Key", key);
+    request.set("Parsleyvane-Attempt", attempt.str());
+    request.set("Parsleyvane-Request", this->question.request.str());
+    request.set("Parsleyvane-Account", this->question.account.str());
+    return request;
+}
+
+} // namespace parsleyvane
