Implement the run-once ledger, billing, answer assembly and retry decisions

Cause: the four settled headers had no implementation, and callers of them are being written.

Ledger: the permit is a committed Held row, seen through a commit, a conflict or a read-back that shows the own attempt; only that attempt ever changes it. Versions known only rise, so a read older than what is known counts as no news. Ruled out: deleting a claim whose reply was lost, since the late insert would bring it back; a Released tombstone over the same version stops it. Writes of one claim are bounded by four. Billing: a batch without an answer keeps its number and content, so any late reply to either write is true of both. Answer assembly: a contradiction is sticky until the next attempt; otherwise a later end could complete a doubtful text. Percent-encoding of tokens moved to core/textcodec, which the ledger's keys share.

The ledger's interleaving property is not in yet.

--- a/include/parsleyvane/billing/billqueue.h
+++ b/include/parsleyvane/billing/billqueue.h
@@ -11,6 +11,7 @@
 #include "parsleyvane/core/failure.h"
 #include "parsleyvane/core/ids.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -85,10 +86,13 @@
     std::vector<Bill> pending() const;
 
 private:
+    void finishBatch();
+
     BillQueueLimits limits;
     std::map<RequestId, Bill> waiting;
-    std::vector<RequestId> order;
+    std::deque<RequestId> order;
     std::optional<BillBatch> underWay;
+    bool mustResend = false;
     std::optional<TimePoint> firstWaitingSince;
     TimePoint notBefore{};
     std::uint64_t lastNumber = 0;
--- a/include/parsleyvane/ledger/runonce.h
+++ b/include/parsleyvane/ledger/runonce.h
@@ -163,12 +163,20 @@
 private:
     enum class Phase { New, Inserting, ReadingBack, Permitted, Recording, Releasing, Answered };
 
+    LedgerAction claimOver(std::uint64_t version);
     LedgerAction judge(const ClaimRow &current);
+    LedgerAction permit(std::uint64_t version);
+    LedgerAction settle(ClaimState state, Phase next, LedgerAction after);
+    LedgerAction onClaimConflict(const ClaimRow &current);
+    LedgerAction onSettleReply(const WriteReply &reply);
+    LedgerAction storeUnavailable();
+    LedgerAction refuse(ErrorId id, RunState runState, std::string detail);
     LedgerAction answer(LedgerAction action);
 
     ClaimRow own;
     Phase phase = Phase::New;
-    unsigned insertsLost = 0;
+    unsigned claimWrites = 0;
+    bool insertMayLand = false;
     std::optional<LedgerAction> pendingAnswer;
     std::optional<ClaimRow> cleanUp;
 };
--- a/include/parsleyvane/retry/attempts.h
+++ b/include/parsleyvane/retry/attempts.h
@@ -47,7 +47,7 @@
 
 private:
     double ratio;
-    double reserve;
+    double cap;
     double balance;
 };
 
--- a/include/parsleyvane/stream/assembler.h
+++ b/include/parsleyvane/stream/assembler.h
@@ -35,6 +35,7 @@
 /**
  * @brief Assembles one answer. Complexity: logarithmic in the chunks waiting out of order.
  *
+ * Once an attempt contradicted itself, all its further chunks are refused until the next attempt begins.
  * Chunks of another than the current attempt are dropped. Duplicates are dropped. Chunks ahead of their time wait, up
  * to a bound. The answer is complete when the explicit end has come and all bytes before it.
  *
@@ -71,6 +72,12 @@
     const Usage &usage() const noexcept;
 
 private:
+    std::optional<std::string> contradiction(LastReason &reason, std::string detail);
+    std::optional<std::string> acceptEnd(const Chunk &chunk, LastReason &reason);
+    bool keepForLater(std::uint64_t offset, const std::string &text);
+    bool append(std::uint64_t offset, const std::string &text);
+    bool appendWaiting();
+
     std::size_t maxWaitingBytes;
     std::size_t maxAnswerBytes;
     AttemptId current;
@@ -78,6 +85,7 @@
     std::map<std::uint64_t, std::string> waiting;
     std::size_t waitingBytes = 0;
     std::optional<std::uint64_t> length;
+    bool contradicted = false;
     Usage endUsage;
 };
 
--- /dev/null
+++ b/src/core/textcodec.cpp
@@ -0,0 +1,65 @@
+#include "parsleyvane/core/textcodec.h"
+
+namespace parsleyvane {
+
+namespace {
+
+constexpr std::string_view digits = "0123456789abcdef";
+constexpr unsigned nibble = 4;
+constexpr unsigned lowNibble = 0xF;
+
+bool isPlain(char c)
+{
+    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+}
+
+void appendHex(std::string &out, char c)
+{
+    const auto byte = static_cast<unsigned char>(c);
+    out.push_back(digits[byte >> nibble]);
+    out.push_back(digits[byte & lowNibble]);
+}
+
+} // namespace
+
+std::string percentEncode(std::string_view text)
+{
+    std::string out;
+    for (const char c : text) {
+        if (isPlain(c)) {
+            out.push_back(c);
+            continue;
+        }
+        out.push_back('%');
+        appendHex(out, c);
+    }
+    return out;
+}
+
+std::string hexEncode(std::string_view bytes)
+{
+    std::string out;
+    for (const char c : bytes) {
+        appendHex(out, c);
+    }
+    return out;
+}
+
+std::optional<std::string> hexDecode(std::string_view text)
+{
+    if (text.size() % 2 != 0) {
+        return std::nullopt;
+    }
+    std::string out;
+    for (std::size_t at = 0; at < text.size(); at += 2) {
+        const auto high = digits.find(text[at]);
+        const auto low = digits.find(text[at + 1]);
+        if (high == std::string_view::npos || low == std::string_view::npos) {
+            return std::nullopt;
+        }
+        out.push_back(static_cast<char>((high << nibble) | low));
+    }
+    return out;
+}
+
+} // namespace parsleyvane
--- a/src/core/token.cpp
+++ b/src/core/token.cpp
@@ -1,6 +1,7 @@
 #include "parsleyvane/session/token.h"
 
 #include "parsleyvane/core/digest.h"
+#include "parsleyvane/core/textcodec.h"
 
 #include <array>
 
@@ -14,31 +15,6 @@
 constexpr std::string_view tokenFormat = "s1";
 constexpr std::size_t maxTokenLength = 2048;
 
-bool isPlain(char c)
-{
-    return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
-}
-
-/// Percent-encodes everything but letters, digits, '-' and '_', so that no field holds the separator.
-std::string encodeField(const std::string &text)
-{
-    constexpr std::string_view digits = "0123456789abcdef";
-    constexpr unsigned nibble = 4;
-    constexpr unsigned lowNibble = 0xF;
-    std::string out;
-    for (const char c : text) {
-        if (isPlain(c)) {
-            out.push_back(c);
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(c);
-        out.push_back('%');
-        out.push_back(digits[byte >> nibble]);
-        out.push_back(digits[byte & lowNibble]);
-    }
-    return out;
-}
-
 std::vector<std::string> split(const std::string &token)
 {
     std::vector<std::string> fields(1);
@@ -58,7 +34,7 @@
     for (const std::string &field :
          {key.id, session.id, session.account.str(), session.pinned.model.str(), session.pinned.version.str()}) {
         text.push_back(separator);
-        text.append(encodeField(field));
+        text.append(percentEncode(field));
     }
     return text;
 }
@@ -68,7 +44,7 @@
                                         const std::string &version)
 {
     for (const VersionEntry &entry : configuration.versions) {
-        if (encodeField(entry.id.model.str()) == model && encodeField(entry.id.version.str()) == version) {
+        if (percentEncode(entry.id.model.str()) == model && percentEncode(entry.id.version.str()) == version) {
             return entry.id;
         }
     }
@@ -106,13 +82,13 @@
     }
     const std::string body = token.substr(0, token.rfind(separator));
     for (const SessionKey &key : configuration.sessionKeys) {
-        if (encodeField(key.id) != fields[1]) {
+        if (percentEncode(key.id) != fields[1]) {
             continue;
         }
         if (!constantTimeEqual(hmacHex(key.secret, body), fields[6])) {
             break;
         }
-        if (encodeField(caller.str()) != fields[3]) {
+        if (percentEncode(caller.str()) != fields[3]) {
             return reason.fail(invalid("the session is another client account's"));
         }
         const auto pinned = findEncoded(configuration, fields[4], fields[5]);
