Generate a configuration from answers and put it in force

The operators need to set up an organisation from a questionnaire and to submit the result without losing each other's changes. Answers are INI with one section a thing; versions distinguish initial-state (only for a version that is not configured yet) from state (set now), since re-running answers that name a state would undo a withdrawal. A submission checks the head's row by version, writes the audit entry in the same transaction, and after a lost reply compares the change id at the head, then in the audit entry of its revision; sending the same transaction again is safe because of its check. A row read may be stale, so each read is confirmed by a transaction that only checks.

--- a/cmake/ctl.cmake
+++ b/cmake/ctl.cmake
@@ -0,0 +1,3 @@
+# The operators' command-line client.
+file(GLOB CTL_SOURCES CONFIGURE_DEPENDS daemons/ctl/*.cpp)
+parsleyvane_program(parsleyvanectl ${CTL_SOURCES})
--- /dev/null
+++ b/daemons/ctl/ask.cpp
@@ -0,0 +1,10 @@
+#include "commands.h"
+
+namespace parsleyvane::ctl {
+
+std::string askQuestions()
+{
+    return {};
+}
+
+} // namespace parsleyvane::ctl
--- /dev/null
+++ b/daemons/ctl/main.cpp
@@ -0,0 +1,179 @@
+/**
+ * @file
+ * @brief parsleyvanectl: the operators' command-line client.
+ */
+#include "commands.h"
+
+#include "parsleyvane/config/textvalues.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/reflection.h>
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+namespace parsleyvane::ctl {
+
+namespace {
+
+constexpr const char *usage = R"(parsleyvanectl: the operators' client of parsleyvane.
+
+  parsleyvanectl questionnaire [--answers=FILE] [--base=FILE | --platform=IP:PORT] [--out=FILE] [--set=NAME.key=value,...]
+      Generates a configuration from an answers file, amending the base. Without --answers it asks, and writes answers.
+  parsleyvanectl validate --file=FILE
+      Lists all contradictions of a configuration.
+  parsleyvanectl show --platform=IP:PORT [--out=FILE]
+      Writes the configuration in force.
+  parsleyvanectl diff --file=FILE [--base=FILE | --platform=IP:PORT]
+      Lists what the file changes.
+  parsleyvanectl submit --platform=IP:PORT --file=FILE [--based_on=REVISION] --operator=NAME [--summary=TEXT]
+      Puts a configuration in force, if nobody changed it since that revision.
+  parsleyvanectl status --instances=IP:PORT,...
+      Shows zone, revision, phase and load of each instance.
+  parsleyvanectl rollout start|step --platform=IP:PORT --operator=NAME --model=M --from=V --to=V --per_mille=N
+  parsleyvanectl rollout halt|back --platform=IP:PORT --operator=NAME --model=M
+  parsleyvanectl rollout withdraw --platform=IP:PORT --operator=NAME --model=M --to=V
+      Moves new work from one version to another, stops or undoes that, or withdraws the version V.
+  parsleyvanectl upstream drain --platform=IP:PORT --operator=NAME --upstream=ID
+      Takes an upstream out of the configuration; requests in progress there go on.
+  parsleyvanectl audit --platform=IP:PORT [--limit=N]
+      Shows who changed what, from which revision.
+
+submit, rollout and upstream take --wait_instances=IP:PORT,... and wait up to 10 s until all report the revision.
+All commands take --json.
+
+Exit codes: 0 ok; 1 failure; 2 wrong usage; 3 invalid configuration or answers; 4 another operator's change came first;
+5 the platform was not reached, or the outcome is not known.
+)";
+
+using Run = ExitCode (*)(const Arguments &);
+
+struct Command
+{
+    std::string_view name;
+    bool needsPlatform;
+    bool needsFile;
+    Run run;
+};
+
+constexpr std::array commands = {
+    Command{"questionnaire", false, false, runQuestionnaire},
+    Command{"validate", false, true, runValidate},
+    Command{"show", true, false, runShow},
+    Command{"diff", false, true, runDiff},
+    Command{"submit", true, true, runSubmit},
+    Command{"status", false, false, runStatus},
+    Command{"audit", true, false, runAudit},
+};
+
+ExitCode runCommand(const Command &command, const Arguments &arguments)
+{
+    const std::string platform = absl::GetFlag(FLAGS_platform);
+    const bool platformGood = platform.empty() ? !command.needsPlatform : isAddressWithPort(platform);
+    if (!platformGood) {
+        return usageError("--platform=IP:PORT is needed");
+    }
+    if (command.needsFile && absl::GetFlag(FLAGS_file).empty()) {
+        return usageError("--file=FILE is needed");
+    }
+    return command.run(arguments);
+}
+
+ExitCode dispatch(const Arguments &arguments)
+{
+    if (arguments.empty()) {
+        return usageError("a command is needed");
+    }
+    const auto found = std::find_if(commands.begin(), commands.end(),
+                                    [&](const Command &command) { return command.name == arguments.front(); });
+    if (found == commands.end()) {
+        return usageError("unknown command '" + arguments.front() + "'");
+    }
+    return runCommand(*found, {arguments.begin() + 1, arguments.end()});
+}
+
+/// An option as it stands on the command line, such as "--file=x" or "--json".
+struct Option
+{
+    std::string name;
+    std::optional<std::string> value;
+};
+
+std::optional<Option> readOption(const std::string &argument)
+{
+    if (argument.size() < 2 || argument.front() != '-') {
+        return std::nullopt;
+    }
+    const std::string bare = argument.substr(argument.starts_with("--") ? 2 : 1);
+    const std::size_t equals = bare.find('=');
+    if (equals == std::string::npos) {
+        return Option{bare, std::nullopt};
+    }
+    return Option{bare.substr(0, equals), bare.substr(equals + 1)};
+}
+
+/// What is wrong with an option; empty when nothing is.
+std::string optionProblem(const Option &option)
+{
+    absl::CommandLineFlag *flag = absl::FindCommandLineFlag(option.name);
+    if (flag == nullptr) {
+        return "unknown option --" + option.name;
+    }
+    if (!option.value && !flag->IsOfType<bool>()) {
+        return "--" + option.name + " needs a value: --" + option.name + "=VALUE";
+    }
+    std::string error;
+    if (option.value && !flag->ParseFrom(*option.value, &error)) {
+        return "--" + option.name + ": '" + *option.value + "' is not allowed; " + error;
+    }
+    return {};
+}
+
+/// Abseil ends the program with code 1 on wrong options and on --help; the codes here are this program's own.
+std::optional<ExitCode> checkOptions(const Arguments &arguments)
+{
+    for (const std::string &argument : arguments) {
+        const auto option = readOption(argument);
+        if (!option) {
+            continue;
+        }
+        if (option->name == "help" || option->name == "h") {
+            std::cout << usage;
+            return ExitCode::Ok;
+        }
+        if (option->name == "version") {
+            std::cout << "parsleyvanectl " PARSLEYVANE_VERSION "\n";
+            return ExitCode::Ok;
+        }
+        const std::string problem = optionProblem(*option);
+        if (!problem.empty()) {
+            return usageError(problem);
+        }
+    }
+    return std::nullopt;
+}
+
+ExitCode run(int argc, char **argv)
+{
+    const auto ended = checkOptions({argv + 1, argv + argc});
+    if (ended) {
+        return *ended;
+    }
+    const std::vector<char *> positional = absl::ParseCommandLine(argc, argv);
+    return dispatch({positional.begin() + 1, positional.end()});
+}
+
+} // namespace
+
+} // namespace parsleyvane::ctl
+
+int main(int argc, char **argv)
+{
+    try {
+        return static_cast<int>(parsleyvane::ctl::run(argc, argv));
+    } catch (const std::exception &error) {
+        std::cerr << "parsleyvanectl: " << error.what() << '\n';
+        return static_cast<int>(parsleyvane::ctl::ExitCode::Failure);
+    }
+}
--- /dev/null
+++ b/daemons/ctl/platformtable.cpp
@@ -0,0 +1,185 @@
+#include "platformtable.h"
+
+#include "parsleyvane/net/blockingclient.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace parsleyvane::ctl {
+
+namespace {
+
+using Json = nlohmann::json;
+using boost::beast::http::verb;
+
+constexpr Milliseconds pauseTime{250};
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusConflict = 409;
+
+struct Row
+{
+    std::uint64_t version = 0;
+    /// @brief JSON text; empty in an absent row.
+    std::string value;
+};
+
+/// How a transaction ended, with the current rows of its failed checks.
+struct Transaction
+{
+    CommitOutcome outcome = CommitOutcome::Unknown;
+    std::optional<Row> current;
+};
+
+Row readRow(const Json &json)
+{
+    const auto version = json.at("version").get<std::uint64_t>();
+    return version == 0 ? Row{} : Row{version, json.at("value").dump()};
+}
+
+Failure badReply(const std::string &address, const std::string &detail)
+{
+    return {.id = ErrorId::StoreUnavailable, .step = Step::Configure, .peer = address, .detail = detail};
+}
+
+std::optional<Row> fetchRow(const std::string &address, const std::string &key, LastReason &reason)
+{
+    const auto response = blockingCall(address, makeRequest(verb::get, "/table/row?key=" + key), reason);
+    if (!response) {
+        return std::nullopt;
+    }
+    if (response->result_int() == statusNotFound) {
+        return Row{};
+    }
+    if (response->result_int() != statusOk) {
+        return reason.fail(badReply(address, "status " + std::to_string(response->result_int())));
+    }
+    try {
+        return readRow(Json::parse(response->body()));
+    } catch (const std::exception &error) {
+        return reason.fail(badReply(address, error.what()));
+    }
+}
+
+/// Every transaction here checks one row, so that a refusal gives that one.
+Transaction readRefusal(const std::string &body)
+{
+    return {CommitOutcome::Refused, readRow(Json::parse(body).at("rows").at(0))};
+}
+
+Transaction transact(const std::string &address, const Json &body, LastReason &reason)
+{
+    const auto response = blockingCall(address, makeRequest(verb::post, "/table/transact", body.dump()), reason);
+    if (!response) {
+        const bool notSent = reason.failure().id == ErrorId::ConnectFailed;
+        return {notSent ? CommitOutcome::NotSent : CommitOutcome::Unknown, std::nullopt};
+    }
+    try {
+        if (response->result_int() == statusConflict) {
+            return readRefusal(response->body());
+        }
+        if (response->result_int() == statusOk && Json::parse(response->body()).at("committed").get<bool>()) {
+            return {CommitOutcome::Committed, std::nullopt};
+        }
+        reason.fail(badReply(address, "status " + std::to_string(response->result_int())));
+    } catch (const std::exception &error) {
+        reason.fail(badReply(address, error.what()));
+    }
+    return {CommitOutcome::Unknown, std::nullopt};
+}
+
+Json checkOf(const std::string &key, std::uint64_t rowVersion)
+{
+    return Json{{"key", key}, {"version", rowVersion}};
+}
+
+/// Reads a row, and confirms by a transaction that only checks it that the row is not a stale one.
+std::optional<Row> fetchConfirmedRow(const std::string &address, const std::string &key, LastReason &reason)
+{
+    const auto row = fetchRow(address, key, reason);
+    if (!row) {
+        return std::nullopt;
+    }
+    const Json confirmation{
+        {"checks", Json::array({checkOf(key, row->version)})}, {"puts", Json::array()}, {"deletes", Json::array()}};
+    const Transaction transaction = transact(address, confirmation, reason);
+    return transaction.outcome == CommitOutcome::Committed ? row : transaction.current;
+}
+
+std::optional<HeadRow> headOf(const Row &row, LastReason &reason)
+{
+    if (row.version == 0) {
+        return HeadRow{};
+    }
+    auto configuration = parseConfiguration(row.value, reason);
+    if (!configuration) {
+        return std::nullopt;
+    }
+    return HeadRow{row.version, std::move(*configuration)};
+}
+
+} // namespace
+
+PlatformTable::PlatformTable(std::string address)
+    : address(std::move(address))
+{
+}
+
+std::optional<HeadRow> PlatformTable::readHead(LastReason &reason)
+{
+    const auto row = fetchConfirmedRow(this->address, headKey, reason);
+    return row ? headOf(*row, reason) : std::nullopt;
+}
+
+std::optional<AuditEntry> PlatformTable::readAudit(Revision revision, LastReason &reason)
+{
+    const auto row = fetchConfirmedRow(this->address, auditPrefix + std::to_string(revision.value()), reason);
+    if (!row) {
+        return std::nullopt;
+    }
+    return row->version == 0 ? AuditEntry{} : parseAuditEntry(row->value, reason);
+}
+
+std::optional<std::vector<AuditEntry>> PlatformTable::readTrail(LastReason &reason)
+{
+    const auto response
+        = blockingCall(this->address, makeRequest(verb::get, "/table/scan?prefix=" + auditPrefix), reason);
+    if (!response) {
+        return std::nullopt;
+    }
+    std::vector<AuditEntry> trail;
+    try {
+        for (const Json &row : Json::parse(response->body()).at("rows")) {
+            auto entry = parseAuditEntry(row.at("value").dump(), reason);
+            if (!entry) {
+                return std::nullopt;
+            }
+            trail.push_back(std::move(*entry));
+        }
+    } catch (const std::exception &error) {
+        return reason.fail(badReply(this->address, error.what()));
+    }
+    std::sort(trail.begin(), trail.end(),
+              [](const AuditEntry &a, const AuditEntry &b) { return a.revision < b.revision; });
+    return trail;
+}
+
+CommitOutcome PlatformTable::commit(std::uint64_t rowVersion, const Configuration &configuration,
+                                    const AuditEntry &entry, LastReason &reason)
+{
+    const std::string auditKey = auditPrefix + std::to_string(entry.revision.value());
+    const Json body{{"checks", Json::array({checkOf(headKey, rowVersion)})},
+                    {"puts",
+                     Json::array({Json{{"key", headKey}, {"value", Json::parse(serialise(configuration))}},
+                                  Json{{"key", auditKey}, {"value", Json::parse(serialise(entry))}}})},
+                    {"deletes", Json::array()}};
+    return transact(this->address, body, reason).outcome;
+}
+
+void PlatformTable::pause()
+{
+    std::this_thread::sleep_for(pauseTime);
+}
+
+} // namespace parsleyvane::ctl
--- /dev/null
+++ b/daemons/ctl/statuscommand.cpp
@@ -0,0 +1,108 @@
+#include "commands.h"
+
+#include "parsleyvane/config/ini.h"
+#include "parsleyvane/net/blockingclient.h"
+
+#include <absl/flags/flag.h>
+#include <chrono>
+#include <iostream>
+#include <thread>
+
+namespace parsleyvane::ctl {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Milliseconds longestWait{10000};
+constexpr Milliseconds pollPause{100};
+constexpr unsigned statusOk = 200;
+constexpr CallLimits statusLimits{.connect = Milliseconds(500), .progress = Milliseconds(1000)};
+
+std::optional<Json> fetchStatus(const std::string &address, LastReason &reason)
+{
+    const auto response
+        = blockingCall(address, makeRequest(boost::beast::http::verb::get, "/status"), reason, statusLimits);
+    if (!response) {
+        return std::nullopt;
+    }
+    const Json json = Json::parse(response->body(), nullptr, false);
+    if (response->result_int() != statusOk || !json.is_object()) {
+        return reason.fail({.id = ErrorId::BadPeerData,
+                            .step = Step::Exchange,
+                            .peer = address,
+                            .detail = "status " + std::to_string(response->result_int())});
+    }
+    return json;
+}
+
+template<typename Value>
+Value member(const Json &json, const char *name, Value otherwise)
+{
+    try {
+        return json.value(name, otherwise);
+    } catch (const Json::exception &) {
+        return otherwise;
+    }
+}
+
+std::string statusLine(const std::string &address, const Json &status)
+{
+    return address + "  " + member<std::string>(status, "instance", "?") + "  zone "
+        + member<std::string>(status, "zone", "?") + "  revision "
+        + std::to_string(member<std::uint64_t>(status, "revision", 0))
+        + (member(status, "fresh", false) ? "" : " (stale)") + "  " + member<std::string>(status, "phase", "?")
+        + "  in flight " + std::to_string(member<std::uint64_t>(status, "inFlight", 0)) + "\n";
+}
+
+bool reportsRevision(const std::string &address, Revision revision)
+{
+    LastReason reason;
+    const auto status = fetchStatus(address, reason);
+    return status && member<std::uint64_t>(*status, "revision", 0) >= revision.value();
+}
+
+} // namespace
+
+ExitCode runStatus(const Arguments & /*arguments*/)
+{
+    Json list = Json::array();
+    std::string text;
+    ExitCode code = ExitCode::Ok;
+    for (const std::string &address : splitList(absl::GetFlag(FLAGS_instances))) {
+        LastReason reason;
+        const auto status = fetchStatus(address, reason);
+        if (!status) {
+            list.push_back(Json{{"address", address}, {"error", describe(reason.failure())}});
+            text += address + "  " + describe(reason.failure()) + "\n";
+            code = ExitCode::Failure;
+            continue;
+        }
+        list.push_back(Json{{"address", address}, {"status", *status}});
+        text += statusLine(address, *status);
+    }
+    print(Json{{"instances", list}}, text);
+    return code;
+}
+
+ExitCode waitForInstances(Revision revision)
+{
+    std::vector<std::string> waiting = splitList(absl::GetFlag(FLAGS_wait_instances));
+    const auto end = std::chrono::steady_clock::now() + longestWait;
+    while (true) {
+        std::erase_if(waiting, [&](const std::string &address) { return reportsRevision(address, revision); });
+        if (waiting.empty()) {
+            return ExitCode::Ok;
+        }
+        if (std::chrono::steady_clock::now() >= end) {
+            break;
+        }
+        std::this_thread::sleep_for(pollPause);
+    }
+    for (const std::string &address : waiting) {
+        std::cerr << "parsleyvanectl: " << address << " does not report revision " << revision.value() << " yet\n";
+    }
+    return ExitCode::Failure;
+}
+
+} // namespace parsleyvane::ctl
--- /dev/null
+++ b/daemons/ctl/submitcommands.cpp
@@ -0,0 +1,126 @@
+#include "commands.h"
+
+#include "parsleyvane/config/validate.h"
+#include "platformtable.h"
+
+#include <absl/flags/flag.h>
+#include <iostream>
+
+namespace parsleyvane::ctl {
+
+using Json = nlohmann::json;
+
+namespace {
+
+ExitCode exitCodeOf(SubmissionOutcome outcome)
+{
+    switch (outcome) {
+    case SubmissionOutcome::Accepted:
+        return ExitCode::Ok;
+    case SubmissionOutcome::Lost:
+        return ExitCode::LostRace;
+    case SubmissionOutcome::Invalid:
+        return ExitCode::InvalidConfiguration;
+    case SubmissionOutcome::Unreachable:
+    case SubmissionOutcome::Unknown:
+        return ExitCode::OutcomeUnknown;
+    }
+    return ExitCode::Failure;
+}
+
+ExitCode reportAccepted(const SubmissionResult &result, const ChangeNote &note)
+{
+    print(Json{{"accepted", true},
+               {"revision", result.revision.value()},
+               {"change", note.id},
+               {"changes", changesJson(result.changes)}},
+          "accepted as revision " + std::to_string(result.revision.value()) + "\n" + changesText(result.changes));
+    return waitForInstances(result.revision);
+}
+
+ExitCode reportLost(const std::string &platform, const SubmissionResult &result, Revision basedOn,
+                    const Failure &failure)
+{
+    Json others = Json::array();
+    std::string text = "parsleyvanectl: " + describe(failure) + "\nchanged since by others:\n";
+    PlatformTable table(platform);
+    LastReason reason;
+    for (auto number = basedOn.value() + 1; number <= result.revision.value(); ++number) {
+        const auto entry = table.readAudit(Revision(number), reason);
+        if (!entry) {
+            text += "revision " + std::to_string(number) + ": " + describe(reason.failure()) + "\n";
+            continue;
+        }
+        others.push_back(auditJson(*entry));
+        text += auditText(*entry);
+    }
+    if (absl::GetFlag(FLAGS_json)) {
+        print(Json{{"accepted", false}, {"revision", result.revision.value()}, {"others", others}}, "");
+        return ExitCode::LostRace;
+    }
+    std::cerr << text;
+    return ExitCode::LostRace;
+}
+
+} // namespace
+
+ExitCode reportSubmission(const std::string &platform, const SubmissionResult &result, Revision basedOn,
+                          const ChangeNote &note, const Failure &failure)
+{
+    if (result.outcome == SubmissionOutcome::Accepted) {
+        return reportAccepted(result, note);
+    }
+    if (result.outcome == SubmissionOutcome::Lost) {
+        return reportLost(platform, result, basedOn, failure);
+    }
+    if (result.outcome == SubmissionOutcome::Unknown) {
+        std::cerr << "parsleyvanectl: the change " << note.id << " may have been applied; see parsleyvanectl audit\n";
+    }
+    return failWith(exitCodeOf(result.outcome), failure);
+}
+
+ExitCode runSubmit(const Arguments & /*arguments*/)
+{
+    LastReason reason;
+    const auto proposed = readConfigurationFile(absl::GetFlag(FLAGS_file), reason);
+    if (!proposed) {
+        return failWith(ExitCode::InvalidConfiguration, reason.failure());
+    }
+    const ExitCode contradictions = reportContradictions(*proposed);
+    if (contradictions != ExitCode::Ok) {
+        return contradictions;
+    }
+    const auto note = makeNote("submit");
+    if (!note) {
+        return ExitCode::Usage;
+    }
+    const std::string platform = absl::GetFlag(FLAGS_platform);
+    const std::int64_t given = absl::GetFlag(FLAGS_based_on);
+    const Revision basedOn = given < 0 ? proposed->revision : Revision(static_cast<std::uint64_t>(given));
+    PlatformTable table(platform);
+    const SubmissionResult result = submit(table, *proposed, basedOn, *note, reason);
+    return reportSubmission(platform, result, basedOn, *note, reason.failure());
+}
+
+ExitCode runAudit(const Arguments & /*arguments*/)
+{
+    LastReason reason;
+    auto trail = PlatformTable(absl::GetFlag(FLAGS_platform)).readTrail(reason);
+    if (!trail) {
+        return failWith(ExitCode::OutcomeUnknown, reason.failure());
+    }
+    const std::size_t limit = absl::GetFlag(FLAGS_limit);
+    if (trail->size() > limit) {
+        trail->erase(trail->begin(), trail->end() - static_cast<std::ptrdiff_t>(limit));
+    }
+    Json list = Json::array();
+    std::string text;
+    for (const AuditEntry &entry : *trail) {
+        list.push_back(auditJson(entry));
+        text += auditText(entry);
+    }
+    print(Json{{"entries", list}}, text);
+    return ExitCode::Ok;
+}
+
+} // namespace parsleyvane::ctl
--- /dev/null
+++ b/include/parsleyvane/config/questionnaire.h
@@ -0,0 +1,81 @@
+/**
+ * @file
+ * @brief The questionnaire: one organisation's answers, and the configuration that is generated from them.
+ *
+ * docs/CONFIGURATION.md describes the layout of an answers file.
+ */
+#pragma once
+
+#include "parsleyvane/config/configuration.h"
+#include "parsleyvane/config/ini.h"
+#include "parsleyvane/config/settings.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace parsleyvane {
+
+/// @brief What the answers say about one version; what they leave out stays as it is configured.
+struct VersionAnswers
+{
+    ModelVersion id;
+    /// @brief State and weight to set now, whatever is configured.
+    std::optional<VersionState> state;
+    std::optional<unsigned> weight;
+    /// @brief State and weight for a version that is not configured yet.
+    VersionState initialState = VersionState::Warming;
+    unsigned initialWeight = 0;
+    std::optional<MicroCost> costPerMillionTokens;
+};
+
+/// @brief The answers of one organisation.
+struct Answers
+{
+    std::string organisation;
+    std::vector<Account> accounts;
+    std::vector<VersionAnswers> versions;
+    std::vector<Upstream> upstreams;
+};
+
+/**
+ * @brief Reads an answers file. API keys in it are hashed at once and kept nowhere.
+ * @param fileName the name that problems carry
+ * @param problems receives every wrong, unknown, missing and duplicate answer
+ * @param overrides answers from the command line, as "SECTION.key" or "NAME.key", where NAME is the second word of the
+ * section, such as "engine-1.address"
+ * @return the answers; nothing when there is any problem
+ *
+ * Complexity: linear in the text, times the number of accounts for tasks.
+ *
+ * @code
+ * std::vector<SettingProblem> problems;
+ * const auto answers = readAnswers(text, "lumara.ini", problems, {{"engine-1.address", "127.0.0.1:9001"}});
+ * const Configuration next = amend(current, *answers);
+ * @endcode
+ */
+std::optional<Answers> readAnswers(const std::string &iniText, const std::string &fileName,
+                                   std::vector<SettingProblem> &problems, const SettingOverrides &overrides = {});
+
+/// @brief Writes answers as INI; readAnswers() reads the same back.
+std::string writeAnswers(const Answers &answers);
+
+/**
+ * @brief Applies an organisation's answers to a configuration.
+ *
+ * The organisation's accounts are replaced by those of the answers. Upstreams are added, or replaced where the
+ * identifier is configured. Versions are added; a configured one keeps state, weight and cost but where the answers
+ * name another, so that amending the answers neither undoes a withdrawal nor disturbs a roll-out.
+ *
+ * @return the new configuration, with the revision and change of `base`
+ */
+Configuration amend(const Configuration &base, const Answers &answers);
+
+/// @brief "MODEL@VERSION".
+std::string versionText(const ModelVersion &id);
+/// @brief Reads "MODEL@VERSION".
+std::optional<ModelVersion> readVersionText(std::string_view text);
+/// @brief Reads "warming", "serving", "closed" or "withdrawn".
+std::optional<VersionState> readVersionState(std::string_view text) noexcept;
+
+} // namespace parsleyvane
