--- a/cmake/daemons.cmake
+++ b/cmake/daemons.cmake
@@ -0,0 +1,1 @@
+parsleyvane_program(parsleyvaned daemons/parsleyvaned.cpp)
--- /dev/null
+++ b/daemons/parsleyvaned.cpp
@@ -0,0 +1,97 @@
+// parsleyvaned: one entry instance of the router.
+
+#include "parsleyvane/net/instance.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <fstream>
+#include <glog/logging.h>
+#include <iostream>
+#include <sstream>
+
+ABSL_FLAG(std::string, settings, "", "INI file with the instance's settings (docs/CONFIGURATION.md)");
+ABSL_FLAG(std::vector<std::string>, set, {}, "settings that override the file: section.key=value,...");
+ABSL_FLAG(bool, check, false, "check the settings and exit");
+
+namespace {
+
+constexpr int exitOk = 0;
+constexpr int exitFailure = 1;
+constexpr int exitInvalidSettings = 2;
+
+std::optional<std::string> readFile(const std::string &name)
+{
+    const std::ifstream file(name);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+parsleyvane::SettingOverrides readOverrides(const std::vector<std::string> &pairs)
+{
+    parsleyvane::SettingOverrides overrides;
+    for (const std::string &pair : pairs) {
+        const std::size_t equals = pair.find('=');
+        const std::string key = pair.substr(0, equals);
+        overrides[key] = equals == std::string::npos ? "" : pair.substr(equals + 1);
+    }
+    return overrides;
+}
+
+std::optional<parsleyvane::InstanceSettings> loadSettings()
+{
+    const std::string name = absl::GetFlag(FLAGS_settings);
+    const auto text = readFile(name);
+    if (!text) {
+        std::cerr << "parsleyvaned: cannot read the settings file '" << name << "' (--settings)\n";
+        return std::nullopt;
+    }
+    std::vector<parsleyvane::SettingProblem> problems;
+    auto settings = parsleyvane::readSettings(*text, name, problems, readOverrides(absl::GetFlag(FLAGS_set)));
+    for (const parsleyvane::SettingProblem &problem : problems) {
+        std::cerr << parsleyvane::describe(problem) << '\n';
+    }
+    return settings;
+}
+
+int serve(const parsleyvane::InstanceSettings &settings)
+{
+    parsleyvane::Instance instance(settings);
+    parsleyvane::LastReason reason;
+    if (!instance.start(reason)) {
+        std::cerr << "parsleyvaned: " << parsleyvane::describe(reason.failure()) << '\n';
+        return exitFailure;
+    }
+    instance.run();
+    return exitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("parsleyvaned --settings=FILE: one entry instance of the router. SIGTERM begins a "
+                                 "planned stop. Exit codes: 0 stopped as planned, 1 failure, 2 invalid settings.");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = []() {
+        return std::string("parsleyvaned ") + PARSLEYVANE_VERSION + "\n";
+    };
+    absl::SetFlagsUsageConfig(usage);
+    absl::ParseCommandLine(argc, argv);
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    const auto settings = loadSettings();
+    if (!settings) {
+        return exitInvalidSettings;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << "settings are valid\n";
+        return exitOk;
+    }
+    return serve(*settings);
+}
--- a/include/parsleyvane/api/chat.h
+++ b/include/parsleyvane/api/chat.h
@@ -39,9 +39,6 @@
     Usage usage;
 };
 
-/// @brief "wattle@3".
-std::string versionText(const ModelVersion &version);
-
 /**
  * @brief Writes the events of one streamed answer. Complexity: linear in the text.
  */
--- a/include/parsleyvane/config/configuration.h
+++ b/include/parsleyvane/config/configuration.h
@@ -191,6 +191,8 @@
 bool allows(const Account &account, const ModelVersion &version) noexcept;
 /// @brief Whether new work may be sent to the version, now.
 bool takesWork(const VersionEntry &entry, bool pinnedSession) noexcept;
+/// @brief "wattle@3".
+std::string versionText(const ModelVersion &version);
 /// @brief "warming", "serving", "closed" or "withdrawn".
 std::string_view versionStateName(VersionState state) noexcept;
 
--- a/include/parsleyvane/config/questionnaire.h
+++ b/include/parsleyvane/config/questionnaire.h
@@ -71,8 +71,6 @@
  */
 Configuration amend(const Configuration &base, const Answers &answers);
 
-/// @brief "MODEL@VERSION".
-std::string versionText(const ModelVersion &id);
 /// @brief Reads "MODEL@VERSION".
 std::optional<ModelVersion> readVersionText(std::string_view text);
 /// @brief Reads "warming", "serving", "closed" or "withdrawn".
--- a/include/parsleyvane/core/blackboard.h
+++ b/include/parsleyvane/core/blackboard.h
@@ -56,6 +56,8 @@
     ZoneId zone;
     Incarnation incarnation;
     InstancePhase phase = InstancePhase::Starting;
+    /// @brief Whether a stop was asked for: readiness is refused, requests are accepted until the phase changes.
+    bool leaving = false;
     /// @brief The configuration in force; requests under way keep the one they were admitted with alive.
     std::shared_ptr<const Configuration> configuration;
     Freshness freshness;
--- a/include/parsleyvane/net/httpserver.h
+++ b/include/parsleyvane/net/httpserver.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <functional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -109,6 +110,8 @@
     bool listen(const boost::asio::ip::tcp::endpoint &endpoint, LastReason &reason);
     /// @brief Takes no new connections; requests under way go on, and their connections close after them.
     void stopAccepting();
+    /// @brief Closes the connections on which no request has begun to arrive.
+    void closeIdle();
 
     // observers
     /// @brief Open connections.
@@ -126,6 +129,7 @@
     ServerLimits limits;
     ExchangeHandler handler;
     boost::asio::ip::tcp::acceptor acceptor;
+    std::set<boost::beast::tcp_stream *> idle;
     std::size_t open = 0;
     bool accepting = true;
 };
--- /dev/null
+++ b/include/parsleyvane/net/operatorapi.h
@@ -0,0 +1,34 @@
+/**
+ * @file
+ * @brief What operators and the platform ask of an instance: health, readiness, metrics, status.
+ */
+#pragma once
+
+#include "parsleyvane/net/controlplane.h"
+#include "parsleyvane/net/httpserver.h"
+#include "parsleyvane/net/routercontext.h"
+
+namespace parsleyvane {
+
+/**
+ * @brief Serves the operators' listener.
+ */
+class OperatorApi
+{
+public:
+    // constructors
+    OperatorApi(RouterContext &context, const ControlPlane &plane);
+
+    // modifiers
+    /// @brief Answers one request; the handler of the operators' HttpServer.
+    boost::asio::awaitable<void> handle(Exchange &exchange);
+
+private:
+    std::string statusBody() const;
+    void refreshGauges();
+
+    RouterContext &context;
+    const ControlPlane &plane;
+};
+
+} // namespace parsleyvane
--- a/src/core/answersreader.cpp
+++ b/src/core/answersreader.cpp
@@ -249,11 +249,6 @@
 
 } // namespace
 
-std::string versionText(const ModelVersion &id)
-{
-    return id.model.str() + "@" + id.version.str();
-}
-
 std::optional<ModelVersion> readVersionText(std::string_view text)
 {
     const std::size_t at = text.find('@');
--- a/src/core/chat.cpp
+++ b/src/core/chat.cpp
@@ -101,11 +101,6 @@
     return request;
 }
 
-std::string versionText(const ModelVersion &version)
-{
-    return version.model.str() + "@" + version.version.str();
-}
-
 ChatEvents::ChatEvents(const RequestId &request, const ModelVersion &version)
 {
     // The constant parts are written once, since this runs for every token.
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -319,6 +319,11 @@
     return entry.state == VersionState::Closed && pinnedSession;
 }
 
+std::string versionText(const ModelVersion &version)
+{
+    return version.model.str() + "@" + version.version.str();
+}
+
 std::string_view versionStateName(VersionState state) noexcept
 {
     for (const StateName &row : stateNames) {
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr int statusOk = 200;
+constexpr std::size_t firstReadBytes = 4096;
 const std::string jsonType = "application/json";
 
 std::string reasonPhrase(int status)
@@ -183,6 +184,13 @@
     this->acceptor.close(ignored);
 }
 
+void HttpServer::closeIdle()
+{
+    for (beast::tcp_stream *stream : this->idle) {
+        stream->cancel();
+    }
+}
+
 asio::awaitable<void> HttpServer::acceptLoop()
 {
     while (this->accepting) {
@@ -221,8 +229,19 @@
     parser.body_limit(this->limits.bodyBytes);
     stream.expires_after(this->limits.requestTimeout);
     boost::system::error_code error;
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error && isGone(error)) {
+    if (buffer.size() == 0) {
+        this->idle.insert(&stream);
+        const auto space = buffer.prepare(firstReadBytes);
+        const std::size_t came
+            = co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+        this->idle.erase(&stream);
+        buffer.commit(came);
+    }
+    if (!error) {
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    const bool silent = error == beast::error::timeout && buffer.size() == 0;
+    if (error && (silent || isGone(error))) {
         co_return false;
     }
     Exchange exchange(stream, parser.release(), this->limits.writeTimeout);
