--- a/daemons/ctl/commands.h
+++ b/daemons/ctl/commands.h
@@ -28,11 +28,9 @@
 ExitCode runAudit(const Arguments &arguments);
 
 /// @brief Reports how a submission ended; the loser of a race is told who changed what.
-ExitCode reportSubmission(const std::string &platform, const SubmissionResult &result, Revision basedOn,
-                          const ChangeNote &note, const Failure &failure);
+ExitCode reportSubmission(const std::string &platform, const SubmissionResult &result, const ChangeNote &note,
+                          const Failure &failure);
 /// @brief Waits until the instances of --wait_instances report the revision. Ok at once without any.
 ExitCode waitForInstances(Revision revision);
-/// @brief The answers that a person gives at the terminal, as an answers file; empty when the input ends early.
-std::string askQuestions();
 
 } // namespace parsleyvane::ctl
--- a/daemons/ctl/configcommands.cpp
+++ b/daemons/ctl/configcommands.cpp
@@ -1,7 +1,6 @@
 #include "commands.h"
 
-#include "parsleyvane/config/questionnaire.h"
-#include "parsleyvane/config/validate.h"
+#include "parsleyvane/config/interview.h"
 #include "parsleyvane/core/digest.h"
 #include "platformtable.h"
 
@@ -78,11 +77,11 @@
 ExitCode askAndWrite()
 {
     LastReason reason;
-    const std::string text = askQuestions();
-    if (text.empty()) {
-        return usageError("the input ended before the last question");
+    const auto answers = interview(std::cin, std::cerr, reason);
+    if (!answers) {
+        return failWith(ExitCode::InvalidConfiguration, reason.failure());
     }
-    if (!writeFile(absl::GetFlag(FLAGS_out), text, reason)) {
+    if (!writeFile(absl::GetFlag(FLAGS_out), writeAnswers(*answers), reason)) {
         return failWith(ExitCode::Failure, reason.failure());
     }
     return ExitCode::Ok;
--- a/daemons/ctl/main.cpp
+++ b/daemons/ctl/main.cpp
@@ -64,6 +64,8 @@
     Command{"diff", false, true, runDiff},
     Command{"submit", true, true, runSubmit},
     Command{"status", false, false, runStatus},
+    Command{"rollout", true, false, runRollout},
+    Command{"upstream", true, false, runUpstream},
     Command{"audit", true, false, runAudit},
 };
 
--- a/daemons/ctl/platformtable.cpp
+++ b/daemons/ctl/platformtable.cpp
@@ -150,7 +150,8 @@
     }
     std::vector<AuditEntry> trail;
     try {
-        for (const Json &row : Json::parse(response->body()).at("rows")) {
+        const Json body = Json::parse(response->body());
+        for (const Json &row : body.at("rows")) {
             auto entry = parseAuditEntry(row.at("value").dump(), reason);
             if (!entry) {
                 return std::nullopt;
--- a/daemons/ctl/submitcommands.cpp
+++ b/daemons/ctl/submitcommands.cpp
@@ -1,6 +1,5 @@
 #include "commands.h"
 
-#include "parsleyvane/config/validate.h"
 #include "platformtable.h"
 
 #include <absl/flags/flag.h>
@@ -38,14 +37,13 @@
     return waitForInstances(result.revision);
 }
 
-ExitCode reportLost(const std::string &platform, const SubmissionResult &result, Revision basedOn,
-                    const Failure &failure)
+ExitCode reportLost(const std::string &platform, const SubmissionResult &result, const Failure &failure)
 {
     Json others = Json::array();
     std::string text = "parsleyvanectl: " + describe(failure) + "\nchanged since by others:\n";
     PlatformTable table(platform);
     LastReason reason;
-    for (auto number = basedOn.value() + 1; number <= result.revision.value(); ++number) {
+    for (auto number = result.basedOn.value() + 1; number <= result.revision.value(); ++number) {
         const auto entry = table.readAudit(Revision(number), reason);
         if (!entry) {
             text += "revision " + std::to_string(number) + ": " + describe(reason.failure()) + "\n";
@@ -64,14 +62,14 @@
 
 } // namespace
 
-ExitCode reportSubmission(const std::string &platform, const SubmissionResult &result, Revision basedOn,
-                          const ChangeNote &note, const Failure &failure)
+ExitCode reportSubmission(const std::string &platform, const SubmissionResult &result, const ChangeNote &note,
+                          const Failure &failure)
 {
     if (result.outcome == SubmissionOutcome::Accepted) {
         return reportAccepted(result, note);
     }
     if (result.outcome == SubmissionOutcome::Lost) {
-        return reportLost(platform, result, basedOn, failure);
+        return reportLost(platform, result, failure);
     }
     if (result.outcome == SubmissionOutcome::Unknown) {
         std::cerr << "parsleyvanectl: the change " << note.id << " may have been applied; see parsleyvanectl audit\n";
@@ -99,7 +97,7 @@
     const Revision basedOn = given < 0 ? proposed->revision : Revision(static_cast<std::uint64_t>(given));
     PlatformTable table(platform);
     const SubmissionResult result = submit(table, *proposed, basedOn, *note, reason);
-    return reportSubmission(platform, result, basedOn, *note, reason.failure());
+    return reportSubmission(platform, result, *note, reason.failure());
 }
 
 ExitCode runAudit(const Arguments & /*arguments*/)
--- a/include/parsleyvane/config/submission.h
+++ b/include/parsleyvane/config/submission.h
@@ -87,6 +87,8 @@
     SubmissionOutcome outcome = SubmissionOutcome::Unreachable;
     /// @brief The revision in force that was seen last; the own one when accepted.
     Revision revision;
+    /// @brief The revision that the change was first made from.
+    Revision basedOn;
     /// @brief What the own change altered, or would have.
     std::vector<ConfigurationChange> changes;
 };
--- a/src/core/validate.cpp
+++ b/src/core/validate.cpp
@@ -178,17 +178,25 @@
     return models;
 }
 
-bool takesNewWork(const Configuration &configuration, const ModelName &model)
+/// Whether a model that chains name can get no new work although nobody withdrew it.
+bool isIdleByMistake(const Configuration &configuration, const ModelName &model)
 {
-    return std::any_of(configuration.versions.begin(), configuration.versions.end(), [&](const VersionEntry &entry) {
-        return entry.id.model == model && takesWork(entry, false) && entry.weight > 0;
-    });
-}
-
-bool isConfigured(const Configuration &configuration, const ModelName &model)
-{
-    return std::any_of(configuration.versions.begin(), configuration.versions.end(),
-                       [&](const VersionEntry &entry) { return entry.id.model == model; });
+    bool configured = false;
+    bool serving = false;
+    bool withdrawn = false;
+    for (const VersionEntry &entry : configuration.versions) {
+        if (entry.id.model != model) {
+            continue;
+        }
+        if (takesWork(entry, false) && entry.weight > 0) {
+            return false;
+        }
+        configured = true;
+        serving = serving || entry.state == VersionState::Serving;
+        withdrawn = withdrawn || entry.state == VersionState::Withdrawn;
+    }
+    // A withdrawal has to go through also when no other version serves.
+    return configured && (serving || !withdrawn);
 }
 
 void checkVersions(const Configuration &configuration, Findings &findings)
@@ -203,8 +211,7 @@
         findings.require(entry.costPerMillionTokens >= MicroCost(0), place + ".costPerMillionTokens", "is negative");
     }
     for (const ModelName &model : modelsInChains(configuration)) {
-        const bool idle = isConfigured(configuration, model) && !takesNewWork(configuration, model);
-        findings.require(!idle, "versions",
+        findings.require(!isIdleByMistake(configuration, model), "versions",
                          "a chain names '" + model.str() + "', but none of its versions serves with a weight over 0");
     }
 }
