--- a/include/parsleyvane/core/ids.h
+++ b/include/parsleyvane/core/ids.h
@@ -47,6 +47,8 @@
         return this->text.empty();
     }
 
+    // The linter takes the zero of the generated comparison for a pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const StrongId &, const StrongId &) = default;
     friend std::ostream &operator<<(std::ostream &out, const StrongId &id)
     {
--- a/include/parsleyvane/stream/assembler.h
+++ b/include/parsleyvane/stream/assembler.h
@@ -35,7 +35,8 @@
 /**
  * @brief Assembles one answer. Complexity: logarithmic in the chunks waiting out of order.
  *
- * Once an attempt contradicted itself, all its further chunks are refused until the next attempt begins.
+ * Once an attempt contradicted itself, all its further chunks are refused until the next attempt begins. Where it
+ * contradicted bytes already given out, no further attempt can help: see inDoubt().
  * Chunks of another than the current attempt are dropped. Duplicates are dropped. Chunks ahead of their time wait, up
  * to a bound. The answer is complete when the explicit end has come and all bytes before it.
  *
@@ -68,6 +69,8 @@
     const std::string &text() const noexcept;
     /// @brief Whether the explicit end and all bytes before it have come.
     bool complete() const noexcept;
+    /// @brief Whether bytes already given out were contradicted; the answer can then never be completed.
+    bool inDoubt() const noexcept;
     /// @brief Usage from the end; meaningful when complete().
     const Usage &usage() const noexcept;
 
@@ -86,6 +89,7 @@
     std::size_t waitingBytes = 0;
     std::optional<std::uint64_t> length;
     bool contradicted = false;
+    bool givenInDoubt = false;
     Usage endUsage;
 };
 
--- a/src/core/assembler.cpp
+++ b/src/core/assembler.cpp
@@ -20,7 +20,7 @@
     this->waiting.clear();
     this->waitingBytes = 0;
     this->length.reset();
-    this->contradicted = false;
+    this->contradicted = this->givenInDoubt;
 }
 
 std::optional<std::string> AnswerAssembler::accept(const Chunk &chunk, LastReason &reason)
@@ -64,6 +64,7 @@
         reached = std::max<std::uint64_t>(reached, offset + text.size());
     }
     if (reached > chunk.offset) {
+        this->givenInDoubt = this->given.size() > chunk.offset;
         return this->contradiction(reason, "an end before bytes that came");
     }
     if (!this->length) {
@@ -100,6 +101,7 @@
 {
     const std::size_t known = std::min<std::size_t>(this->given.size() - offset, text.size());
     if (this->given.compare(offset, known, text, 0, known) != 0) {
+        this->givenInDoubt = true;
         return false;
     }
     this->given.append(text, known);
@@ -133,6 +135,11 @@
     return !this->contradicted && this->length == this->given.size();
 }
 
+bool AnswerAssembler::inDoubt() const noexcept
+{
+    return this->givenInDoubt;
+}
+
 const Usage &AnswerAssembler::usage() const noexcept
 {
     return this->endUsage;
--- a/src/core/billqueue.cpp
+++ b/src/core/billqueue.cpp
@@ -63,15 +63,16 @@
     if (!this->underWay || this->underWay->number != number) {
         return;
     }
-    bool progress = false;
-    for (auto bill = this->underWay->bills.rbegin(); bill != this->underWay->bills.rend(); ++bill) {
-        if (std::find(alreadyBilled.begin(), alreadyBilled.end(), bill->request) != alreadyBilled.end()) {
-            this->waiting.erase(bill->request);
-            progress = true;
+    std::vector<RequestId> rest;
+    for (const Bill &bill : this->underWay->bills) {
+        if (std::find(alreadyBilled.begin(), alreadyBilled.end(), bill.request) != alreadyBilled.end()) {
+            this->waiting.erase(bill.request);
             continue;
         }
-        this->order.push_front(bill->request);
+        rest.push_back(bill.request);
     }
+    const bool progress = rest.size() < this->underWay->bills.size();
+    this->order.insert(this->order.begin(), rest.begin(), rest.end());
     if (!this->order.empty()) {
         // What was put back has waited its time already.
         this->firstWaitingSince = now - this->limits.gather;
--- a/tests/suite.h
+++ b/tests/suite.h
@@ -10,6 +10,7 @@
 #include <cppunit/TestRunner.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
+#include <cstdint>
 #include <cstdlib>
 #include <iostream>
 #include <rapidcheck.h>
@@ -23,6 +24,12 @@
     CPPUNIT_ASSERT_MESSAGE(sentence, rc::check(sentence, std::forward<Property>(body)));
 }
 
+/// @brief Draws a seed over the whole range, for a property that makes its own choices. Inside a property only.
+inline std::uint64_t seed()
+{
+    return *rc::gen::noShrink(rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
+}
+
 /// @brief Runs all registered suites; the exit code of a test program.
 inline int runAll()
 {
--- a/tests/unit-stream.cpp
+++ b/tests/unit-stream.cpp
@@ -35,19 +35,96 @@
     return chunks;
 }
 
-/// Swaps, duplicates and perhaps cuts.
-void disturb(std::vector<Chunk> &chunks, bool cut, std::mt19937_64 &random)
+/// Swaps and duplicates chunks.
+void disturb(std::vector<Chunk> &chunks, std::mt19937_64 &random)
 {
     for (std::size_t count = random() % 8; count > 0; --count) {
         std::swap(chunks[random() % chunks.size()], chunks[random() % chunks.size()]);
         const Chunk copy = chunks[random() % chunks.size()];
         chunks.insert(chunks.begin() + static_cast<std::ptrdiff_t>(random() % (chunks.size() + 1)), copy);
     }
-    if (cut) {
-        chunks.resize(random() % chunks.size());
-    }
 }
 
+/// One answer over several attempts: some cut, the last one whole, any of them garbled, old chunks coming late.
+struct StreamRun
+{
+    explicit StreamRun(std::uint64_t seed)
+        : random(seed)
+    {
+        for (std::size_t size = this->random() % 40; size > 0; --size) {
+            this->answer.push_back(static_cast<char>('a' + (this->random() % 3)));
+        }
+    }
+
+    void play()
+    {
+        constexpr unsigned attempts = 4;
+        std::vector<Chunk> late;
+        for (unsigned attempt = 1; attempt <= attempts && !this->assembler.complete(); ++attempt) {
+            const AttemptId id("a" + std::to_string(attempt));
+            auto chunks = chunksOf(id, this->answer, this->assembler.offset(), this->random);
+            this->assembler.beginAttempt(id);
+            disturb(chunks, this->random);
+            if (this->random() % 5 == 0) {
+                this->garble(chunks);
+            } else if (attempt < attempts) {
+                chunks.resize(this->random() % chunks.size());
+            }
+            const std::vector<Chunk> sent = chunks;
+            chunks.insert(chunks.begin() + static_cast<std::ptrdiff_t>(this->random() % (chunks.size() + 1)),
+                          late.begin(), late.end());
+            this->deliver(chunks);
+            late = sent;
+        }
+    }
+
+    /// One more attempt, undisturbed.
+    void playWhole()
+    {
+        const AttemptId id("last");
+        const auto chunks = chunksOf(id, this->answer, this->assembler.offset(), this->random);
+        this->assembler.beginAttempt(id);
+        this->deliver(chunks);
+    }
+
+    /**
+     * Adds a chunk that differs in each byte from one of the others. Both come before the end: a wrong chunk whose
+     * right one never comes cannot be told from a right one.
+     */
+    void garble(std::vector<Chunk> &chunks)
+    {
+        Chunk wrong = chunks[this->random() % chunks.size()];
+        if (wrong.end) {
+            return;
+        }
+        for (char &c : wrong.text) {
+            c = static_cast<char>(c ^ 1);
+        }
+        chunks.insert(chunks.begin() + static_cast<std::ptrdiff_t>(this->random() % (chunks.size() + 1)), wrong);
+        std::erase_if(chunks, [](const Chunk &chunk) { return chunk.end; });
+        chunks.push_back(endChunk(wrong.attempt, this->answer.size()));
+        this->garbled = true;
+    }
+
+    void deliver(const std::vector<Chunk> &chunks)
+    {
+        LastReason ignored;
+        for (const Chunk &chunk : chunks) {
+            const auto text = this->assembler.accept(chunk, ignored);
+            this->passedOn += text.value_or("");
+            if (this->assembler.complete()) {
+                return;
+            }
+        }
+    }
+
+    std::mt19937_64 random;
+    std::string answer;
+    AnswerAssembler assembler;
+    std::string passedOn;
+    bool garbled = false;
+};
+
 } // namespace
 
 class StreamTest : public CppUnit::TestFixture
@@ -61,9 +138,10 @@
     CPPUNIT_TEST(cutStreamIsNotComplete);
     CPPUNIT_TEST(differentTextAtOneOffsetIsAnError);
     CPPUNIT_TEST(bytesPastTheEndAreAnError);
-    CPPUNIT_TEST(contradictionStaysUntilTheNextAttempt);
+    CPPUNIT_TEST(contradictionAheadStaysUntilTheNextAttempt);
+    CPPUNIT_TEST(contradictionOfGivenBytesCannotBeMended);
     CPPUNIT_TEST(boundsHold);
-    CPPUNIT_TEST(anyInterleavingGivesTheAnswerOrNoCompletion);
+    CPPUNIT_TEST(anyInterleavingGivesTheAnswerOrAnError);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -164,19 +242,32 @@
         CPPUNIT_ASSERT(!twice.accept(endChunk(first, 4), this->reason));
     }
 
-    void contradictionStaysUntilTheNextAttempt()
+    void contradictionAheadStaysUntilTheNextAttempt()
     {
         AnswerAssembler assembler;
         assembler.beginAttempt(first);
         assembler.accept(textChunk(first, 0, "ab"), this->reason);
-        assembler.accept(textChunk(first, 0, "x"), this->reason);
+        assembler.accept(textChunk(first, 3, "d"), this->reason);
+        CPPUNIT_ASSERT(!assembler.accept(textChunk(first, 3, "x"), this->reason));
         CPPUNIT_ASSERT(!assembler.accept(endChunk(first, 2), this->reason));
-        CPPUNIT_ASSERT(!assembler.complete());
+        CPPUNIT_ASSERT(!assembler.complete() && !assembler.inDoubt());
         assembler.beginAttempt(second);
         CPPUNIT_ASSERT(assembler.accept(endChunk(second, 2), this->reason));
         CPPUNIT_ASSERT(assembler.complete());
     }
 
+    void contradictionOfGivenBytesCannotBeMended()
+    {
+        AnswerAssembler assembler;
+        assembler.beginAttempt(first);
+        assembler.accept(textChunk(first, 0, "ab"), this->reason);
+        CPPUNIT_ASSERT(!assembler.accept(textChunk(first, 0, "x"), this->reason));
+        CPPUNIT_ASSERT(assembler.inDoubt());
+        assembler.beginAttempt(second);
+        CPPUNIT_ASSERT(!assembler.accept(endChunk(second, 2), this->reason));
+        CPPUNIT_ASSERT(!assembler.complete());
+    }
+
     void boundsHold()
     {
         AnswerAssembler assembler(4, 8);
@@ -189,48 +280,29 @@
         CPPUNIT_ASSERT(!assembler.accept(textChunk(first, ~std::uint64_t{0}, "12"), this->reason));
     }
 
-    void anyInterleavingGivesTheAnswerOrNoCompletion()
-    {
-        test::property("what completes is the whole answer, and what is passed on is its beginning", []() {
-            std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
-            const auto answer = *rc::gen::string<std::string>();
-            std::vector<Chunk> stale;
-            AnswerAssembler assembler;
-            std::string passedOn;
-            LastReason ignored;
-            for (unsigned attempt = 0; attempt < 4 && !assembler.complete(); ++attempt) {
-                const AttemptId id("a" + std::to_string(attempt));
-                const std::size_t resumed = assembler.offset();
-                assembler.beginAttempt(id);
-                auto chunks = chunksOf(id, answer, resumed, random);
-                disturb(chunks, attempt < 3, random);
-                std::vector<Chunk> arriving = chunks;
-                arriving.insert(arriving.begin(), stale.begin(), stale.end());
-                // Every second attempt is also met by bytes of another answer.
-                const bool garbled = attempt < 3 && random() % 2 == 0;
-                if (garbled) {
-                    arriving.push_back(textChunk(id, random() % (answer.size() + 2), "\x01\x02"));
-                }
-                for (const Chunk &chunk : arriving) {
-                    const auto text = assembler.accept(chunk, ignored);
-                    if (!text) {
-                        break;
-                    }
-                    passedOn += *text;
-                    if (assembler.complete()) {
-                        break;
-                    }
-                }
-                RC_ASSERT(assembler.text() == passedOn);
-                if (garbled && !assembler.complete()) {
-                    return; // Bytes of another answer that fill a gap cannot be told from the right ones.
+    void anyInterleavingGivesTheAnswerOrAnError()
+    {
+        unsigned completed = 0;
+        unsigned failed = 0;
+        test::property("what completes is the whole answer, and only a garbled one fails", [&]() {
+            for (unsigned run = 0; run < 20; ++run) {
+                StreamRun stream(test::seed());
+                stream.play();
+                if (stream.assembler.complete()) {
+                    RC_ASSERT(stream.assembler.text() == stream.answer);
+                    RC_ASSERT(stream.passedOn == stream.answer);
+                    ++completed;
+                    continue;
                 }
-                RC_ASSERT(answer.substr(0, passedOn.size()) == passedOn);
-                stale = std::move(chunks);
+                RC_ASSERT(stream.garbled);
+                stream.playWhole();
+                RC_ASSERT(stream.assembler.complete() != stream.assembler.inDoubt());
+                RC_ASSERT(!stream.assembler.complete() || stream.passedOn == stream.answer);
+                failed += stream.assembler.inDoubt() ? 1 : 0;
             }
-            RC_ASSERT(assembler.complete());
-            RC_ASSERT(assembler.text() == answer);
         });
+        std::cout << "completed " << completed << ", failed " << failed << '\n';
+        CPPUNIT_ASSERT(completed > 0 && failed > 0);
     }
 };
 
