Add the multi-process rig and the checkers of the ten invariants

The failure tests, the demo and the soak need the same things: processes that can be frozen and killed, a relay that loses traffic, a caller that keeps all it was told, and one checker for each invariant.

Weighed: ports from the kernel (port 0) against a range below the one for outgoing connections. The first can lose its port to an outgoing connection between the probe and the start, so the range was taken. The "not run" rule compares each run with all sendings of its request: a run is explained only by a sending that was not told "not run" and had begun by then, so that a truthful refusal and a later success both pass.

--- /dev/null
+++ b/tests/rig/checkers.cpp
@@ -0,0 +1,319 @@
+#include "rig/checkers.h"
+
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace parsleyvane::rig {
+
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::string_view billPrefix = "bill/";
+
+std::string text(const ModelVersion &id)
+{
+    return id.model.str() + "@" + id.version.str();
+}
+
+template<typename Id>
+Id idOf(const Json &event, const char *member)
+{
+    return Id(event.value(member, ""));
+}
+
+Run readRun(const Json &event, const UpstreamId &upstream)
+{
+    return Run{upstream,
+               idOf<AttemptId>(event, "attempt"),
+               idOf<RequestId>(event, "request"),
+               idOf<AccountId>(event, "account"),
+               {idOf<ModelName>(event, "model"), idOf<VersionName>(event, "version")},
+               event.value("at", std::int64_t{0})};
+}
+
+Applied readApplied(const Json &event, const UpstreamId &upstream)
+{
+    return Applied{upstream,
+                   event.value("operation", ""),
+                   idOf<IdempotencyKey>(event, "key"),
+                   idOf<AttemptId>(event, "attempt"),
+                   idOf<RequestId>(event, "request"),
+                   idOf<AccountId>(event, "account"),
+                   event.value("at", std::int64_t{0})};
+}
+
+/// @brief A committed transaction lists the rows that it put.
+void readPuts(const Json &event, Records &records)
+{
+    for (const Json &put : event.value("puts", Json::array())) {
+        const std::string key = put.is_string() ? put.get<std::string>() : put.value("key", "");
+        if (!key.starts_with(billPrefix)) {
+            continue;
+        }
+        records.bills.push_back({RequestId(key.substr(billPrefix.size()))});
+    }
+}
+
+void readEvent(const Json &event, const UpstreamId &upstream, Records &records)
+{
+    const std::string type = event.value("type", "");
+    if (type == "run") {
+        records.runs.push_back(readRun(event, upstream));
+    } else if (type == "ran") {
+        records.ends.push_back({upstream, idOf<AttemptId>(event, "attempt"),
+                                event.value("outputTokens", std::int64_t{0}), event.value("at", std::int64_t{0})});
+    } else if (type == "applied") {
+        records.applied.push_back(readApplied(event, upstream));
+    } else if (type == "transact") {
+        readPuts(event, records);
+    }
+}
+
+/// @brief What was sent under one identity, and whether any sending but those told "not run" may have run it.
+bool explained(const std::vector<const CallerGot *> &sendings, std::int64_t at)
+{
+    for (const CallerGot *sending : sendings) {
+        if (sending->told != RunState::NotRun && sending->sentAt <= at) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool anyToldNotRun(const std::vector<const CallerGot *> &sendings)
+{
+    for (const CallerGot *sending : sendings) {
+        if (sending->told == RunState::NotRun) {
+            return true;
+        }
+    }
+    return false;
+}
+
+template<typename Event>
+void checkUnexplained(const Event &event, const std::vector<const CallerGot *> &sendings, Violations &violations)
+{
+    if (!anyToldNotRun(sendings) || explained(sendings, event.at)) {
+        return;
+    }
+    violations.push_back({6,
+                          "request " + event.request.str() + " was told not run, and " + event.upstream.str()
+                              + " ran it as attempt " + event.attempt.str()});
+}
+
+} // namespace
+
+void readRecords(const std::filesystem::path &file, const UpstreamId &upstream, Records &records)
+{
+    std::ifstream lines(file);
+    for (std::string line; std::getline(lines, line);) {
+        const Json event = Json::parse(line, nullptr, false);
+        if (!event.is_object()) {
+            continue;
+        }
+        readEvent(event, upstream, records);
+    }
+}
+
+Violations checkAllowedVersions(const Records &records, const Configuration &configuration)
+{
+    Violations violations;
+    for (const Run &run : records.runs) {
+        const Account *account = configuration.findAccount(run.account);
+        if (account != nullptr && allows(*account, run.version)) {
+            continue;
+        }
+        violations.push_back({1,
+                              "account " + run.account.str() + " ran on " + text(run.version) + " at "
+                                  + run.upstream.str() + ", attempt " + run.attempt.str()});
+    }
+    return violations;
+}
+
+Violations checkWithdrawals(const Records &records, const std::vector<Withdrawal> &withdrawals, Milliseconds bound)
+{
+    Violations violations;
+    for (const Withdrawal &withdrawal : withdrawals) {
+        for (const Run &run : records.runs) {
+            const std::int64_t late = run.at - withdrawal.at;
+            if (run.version != withdrawal.version || late <= bound.count()) {
+                continue;
+            }
+            violations.push_back({2,
+                                  text(run.version) + " ran attempt " + run.attempt.str() + " " + std::to_string(late)
+                                      + " ms after its withdrawal"});
+        }
+    }
+    return violations;
+}
+
+Violations checkSessions(const Records &records, const std::vector<CallerGot> &callers)
+{
+    Violations violations;
+    std::map<std::string, ModelVersion> versionOf;
+    std::map<RequestId, std::string> conversationOf;
+    for (const CallerGot &got : callers) {
+        if (got.conversation.empty() || !got.version) {
+            continue;
+        }
+        conversationOf[got.request] = got.conversation;
+        const auto &first = versionOf.try_emplace(got.conversation, *got.version).first->second;
+        if (first != *got.version) {
+            violations.push_back(
+                {3, "session " + got.conversation + " moved from " + text(first) + " to " + text(*got.version)});
+        }
+    }
+    for (const Run &run : records.runs) {
+        const auto conversation = conversationOf.find(run.request);
+        if (conversation == conversationOf.end() || versionOf.at(conversation->second) == run.version) {
+            continue;
+        }
+        violations.push_back({3, "session " + conversation->second + " ran on " + text(run.version) + " too"});
+    }
+    return violations;
+}
+
+Violations checkBills(const Records &records, const std::vector<CallerGot> &callers)
+{
+    Violations violations;
+    std::map<RequestId, int> writes;
+    for (const Billed &bill : records.bills) {
+        if (++writes[bill.request] == 2) {
+            violations.push_back({4, "request " + bill.request.str() + " was billed more than once"});
+        }
+    }
+    for (const CallerGot &got : callers) {
+        if (got.succeeded && !writes.contains(got.request)) {
+            violations.push_back({4, "request " + got.request.str() + " was answered and not billed"});
+        }
+    }
+    return violations;
+}
+
+Violations checkAnswers(const std::vector<CallerGot> &callers)
+{
+    Violations violations;
+    for (const CallerGot &got : callers) {
+        if (!got.succeeded || !got.expected || *got.expected == got.text) {
+            continue;
+        }
+        violations.push_back({5,
+                              "request " + got.request.str() + " got " + std::to_string(got.text.size())
+                                  + " bytes that are not the engine's answer of "
+                                  + std::to_string(got.expected->size())});
+    }
+    return violations;
+}
+
+Violations checkNotRun(const Records &records, const std::vector<CallerGot> &callers)
+{
+    std::map<RequestId, std::vector<const CallerGot *>> byRequest;
+    for (const CallerGot &got : callers) {
+        if (!got.request.empty()) {
+            byRequest[got.request].push_back(&got);
+        }
+    }
+    Violations violations;
+    for (const Run &run : records.runs) {
+        checkUnexplained(run, byRequest[run.request], violations);
+    }
+    for (const Applied &applied : records.applied) {
+        checkUnexplained(applied, byRequest[applied.request], violations);
+    }
+    return violations;
+}
+
+Violations checkAtMostOnce(const Records &records)
+{
+    struct Identity
+    {
+        AccountId account;
+        std::string operation;
+        IdempotencyKey key;
+
+        auto operator<=>(const Identity &) const = default;
+    };
+    Violations violations;
+    std::set<Identity> seen;
+    for (const Applied &applied : records.applied) {
+        if (seen.insert({applied.account, applied.operation, applied.key}).second) {
+            continue;
+        }
+        violations.push_back({7,
+                              applied.operation + " of " + applied.account.str() + " under key " + applied.key.str()
+                                  + " was applied again, attempt " + applied.attempt.str()});
+    }
+    return violations;
+}
+
+Violations checkDepartures(const Records &records, const std::vector<Departure> &departures, Milliseconds bound)
+{
+    Violations violations;
+    const auto check = [&](const auto &event, const Departure &departure) {
+        const std::int64_t late = event.at - departure.at;
+        if (event.upstream != departure.upstream || late <= bound.count()) {
+            return;
+        }
+        violations.push_back({8,
+                              departure.upstream.str() + " got attempt " + event.attempt.str() + " "
+                                  + std::to_string(late) + " ms after it began to leave"});
+    };
+    for (const Departure &departure : departures) {
+        for (const Run &run : records.runs) {
+            check(run, departure);
+        }
+        for (const Applied &applied : records.applied) {
+            check(applied, departure);
+        }
+    }
+    return violations;
+}
+
+Violations checkPlannedStops(const std::vector<CallerGot> &callers, const std::vector<PlannedStop> &stops,
+                             Milliseconds lag)
+{
+    Violations violations;
+    for (const PlannedStop &stop : stops) {
+        for (const CallerGot &got : callers) {
+            const bool sentInTime = got.sentAt <= stop.at + lag.count();
+            if (got.instance != stop.instance || !sentInTime || got.gotAt < stop.at || !got.cutOff) {
+                continue;
+            }
+            violations.push_back({9,
+                                  "the stop of " + stop.instance.str() + " cut off request " + got.request.str()
+                                      + " after " + std::to_string(got.text.size()) + " bytes"});
+        }
+    }
+    return violations;
+}
+
+Violations checkRevisions(const std::vector<RevisionSeen> &seen, const std::vector<Acceptance> &acceptances,
+                          Milliseconds bound)
+{
+    Violations violations;
+    std::map<InstanceId, Revision> highest;
+    for (const RevisionSeen &view : seen) {
+        Revision &known = highest[view.instance];
+        if (view.revision < known) {
+            violations.push_back({10,
+                                  view.instance.str() + " fell back from revision " + std::to_string(known.value())
+                                      + " to " + std::to_string(view.revision.value())});
+        }
+        known = std::max(known, view.revision);
+        for (const Acceptance &acceptance : acceptances) {
+            if (view.at <= acceptance.at + bound.count() || view.revision >= acceptance.revision) {
+                continue;
+            }
+            violations.push_back({10,
+                                  view.instance.str() + " shows revision " + std::to_string(view.revision.value())
+                                      + " too long after " + std::to_string(acceptance.revision.value())
+                                      + " was accepted"});
+        }
+    }
+    return violations;
+}
+
+} // namespace parsleyvane::rig
--- /dev/null
+++ b/tests/rig/fleet.cpp
@@ -0,0 +1,288 @@
+#include "rig/fleet.h"
+
+#include "parsleyvane/net/blockingclient.h"
+
+#include <fstream>
+#include <stdexcept>
+
+namespace parsleyvane::rig {
+
+namespace http = boost::beast::http;
+using Json = nlohmann::json;
+
+namespace {
+
+/// @brief For calls of the rig itself; shorter than the bound of its waits.
+constexpr CallLimits rigLimits{.connect = Milliseconds(500), .progress = Milliseconds(2000)};
+constexpr std::size_t secretHexDigits = 64;
+
+std::optional<HttpResponse> call(const std::string &address, http::verb verb, const std::string &target,
+                                 const Json &body = {})
+{
+    LastReason reason;
+    const std::string payload = body.is_null() ? "" : body.dump();
+    return blockingCall(address, makeRequest(verb, target, payload), reason, rigLimits);
+}
+
+bool answersOk(const std::string &address, const std::string &target)
+{
+    const auto response = call(address, http::verb::get, target);
+    return response && response->result() == http::status::ok;
+}
+
+void require(bool held, const std::string &what)
+{
+    if (!held) {
+        throw std::runtime_error(what);
+    }
+}
+
+std::string joined(const std::vector<ModelVersion> &versions)
+{
+    std::string text;
+    for (const ModelVersion &version : versions) {
+        text += (text.empty() ? "" : ",") + version.model.str() + "@" + version.version.str();
+    }
+    return text;
+}
+
+std::string zoneName(unsigned index, unsigned zones)
+{
+    return "zone-" + std::string(1, static_cast<char>('a' + index % zones));
+}
+
+} // namespace
+
+std::filesystem::path programDirectory()
+{
+    return std::filesystem::read_symlink("/proc/self/exe").parent_path();
+}
+
+Fleet::Fleet(FleetPlan plan)
+    : planned(std::move(plan))
+{
+    std::filesystem::remove_all(this->planned.runDirectory);
+    std::filesystem::create_directories(this->planned.runDirectory);
+}
+
+Member &Fleet::add(std::vector<Member> &group, const std::string &role, const std::string &id, unsigned index)
+{
+    Member member;
+    member.id = id;
+    member.role = role;
+    member.zone = zoneName(index, this->planned.zones);
+    member.address = freeAddress();
+    member.log = this->planned.runDirectory / (id + ".log");
+    group.push_back(std::move(member));
+    return group.back();
+}
+
+void Fleet::startStandIn(Member &member, const std::string &program, std::vector<std::string> flags)
+{
+    member.record = this->planned.runDirectory / (member.id + ".jsonl");
+    member.command = {(this->planned.bin / program).string(), "--listen=" + member.address, "--name=" + member.id,
+                      "--zone=" + member.zone, "--record=" + member.record.string()};
+    member.command.insert(member.command.end(), flags.begin(), flags.end());
+    this->start(member);
+    require(waitUntil([&] { return answersOk(member.address, "/record"); }), member.id + " did not start");
+    if (this->planned.relayed && member.role != "platform") {
+        member.front = std::make_unique<Relay>(member.address);
+    }
+}
+
+void Fleet::startStandIns()
+{
+    this->startStandIn(this->add(this->platforms, "platform", "platform", 0), "standin-platform", {});
+    unsigned index = 0;
+    for (const EnginePlan &engine : this->planned.engines) {
+        Member &member = this->add(this->engines, "engine", "engine-" + std::to_string(index + 1), index);
+        this->startStandIn(member, "standin-engine",
+                           {"--slots=" + std::to_string(engine.slots), "--loads=" + joined(engine.loads),
+                            "--token_delay_us=" + std::to_string(engine.tokenDelayUs),
+                            "--seed=" + std::to_string(this->planned.seed + index),
+                            std::string("--check_fence=") + (engine.checksFence ? "true" : "false")});
+        this->enrol(member);
+        ++index;
+    }
+    index = 0;
+    for (const std::string &name : this->planned.services) {
+        Member &member = this->add(this->services, "service", name, index);
+        this->startStandIn(member, "standin-service", {});
+        this->enrol(member);
+        ++index;
+    }
+}
+
+void Fleet::prepareInstances()
+{
+    for (unsigned index = 0; index < this->planned.instances; ++index) {
+        Member &member = this->add(this->instances, "entry", "entry-" + std::to_string(index + 1), index);
+        member.operators = freeAddress();
+        member.peers = freeAddress();
+        if (this->planned.relayed) {
+            member.front = std::make_unique<Relay>(member.peers);
+            member.toPlatform = std::make_unique<Relay>(this->platform().address);
+        }
+    }
+    for (Member &member : this->instances) {
+        this->writeSettings(member);
+    }
+}
+
+void Fleet::writeSettings(Member &member) const
+{
+    std::string seeds;
+    for (const Member &other : this->instances) {
+        if (&other != &member) {
+            seeds += (seeds.empty() ? "" : ",") + other.reachedAt();
+        }
+    }
+    const auto path = this->planned.runDirectory / (member.id + ".ini");
+    const std::string &platform = member.toPlatform ? member.toPlatform->address() : this->platforms.front().address;
+    std::ofstream(path) << "[instance]\nid = " << member.id << "\nzone = " << member.zone
+                        << "\n[listen]\ncallers = " << member.address << "\noperators = " << member.operators
+                        << "\npeers = " << member.peers << "\n[platform]\naddress = " << platform
+                        << "\n[peers]\nseeds = " << seeds << "\n"
+                        << this->planned.settings << "\n";
+    member.command = {(this->planned.bin / "parsleyvaned").string(), "--settings=" + path.string()};
+}
+
+void Fleet::startInstances()
+{
+    this->prepareInstances();
+    for (Member &member : this->instances) {
+        this->start(member);
+        this->enrol(member);
+    }
+    for (const Member &member : this->instances) {
+        require(waitUntil([&] { return this->ready(member); }), member.id + " did not become ready");
+    }
+}
+
+void Fleet::start(Member &member) const
+{
+    member.process = std::make_unique<Process>(member.command, member.log);
+}
+
+void Fleet::restart(Member &member)
+{
+    this->start(member);
+}
+
+void Fleet::enrol(const Member &member) const
+{
+    const Json body{{"id", member.id},
+                    {"role", member.role},
+                    {"address", member.reachedAt()},
+                    {"zone", member.zone},
+                    {"leaving", false}};
+    const auto response = call(this->platforms.front().address, http::verb::post, "/instances", body);
+    require(response && response->result() == http::status::ok, "the platform did not list " + member.id);
+}
+
+void Fleet::runTool(const std::string &name, std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.begin(), (this->planned.bin / name).string());
+    const auto log = this->planned.runDirectory / (name + ".log");
+    Process process(arguments, log);
+    const auto status = process.wait();
+    require(status == 0, name + " " + arguments.at(1) + " failed, see " + log.string());
+}
+
+void Fleet::submit(const std::filesystem::path &file, Revision basedOn, const std::string &operatorName)
+{
+    this->runTool("parsleyvanectl",
+                  {"submit", "--platform=" + this->platform().address, "--file=" + file.string(),
+                   "--based_on=" + std::to_string(basedOn.value()), "--operator=" + operatorName});
+}
+
+void Fleet::fault(const Member &member, const Json &faults)
+{
+    const auto response = call(member.address, http::verb::post, "/faults", faults);
+    require(response && response->result() == http::status::ok, member.id + " did not take its faults");
+}
+
+Member &Fleet::platform()
+{
+    return this->platforms.at(0);
+}
+
+Member &Fleet::engine(std::size_t index)
+{
+    return this->engines.at(index);
+}
+
+Member &Fleet::service(std::size_t index)
+{
+    return this->services.at(index);
+}
+
+Member &Fleet::instance(std::size_t index)
+{
+    return this->instances.at(index);
+}
+
+std::size_t Fleet::instanceCount() const noexcept
+{
+    return this->instances.size();
+}
+
+const FleetPlan &Fleet::plan() const noexcept
+{
+    return this->planned;
+}
+
+Configuration Fleet::baseConfiguration() const
+{
+    Configuration configuration;
+    configuration.sessionKeys.push_back({"rig-1", std::string(secretHexDigits, '7')});
+    std::size_t index = 0;
+    for (const Member &member : this->engines) {
+        const EnginePlan &engine = this->planned.engines.at(index++);
+        configuration.upstreams.push_back({UpstreamId(member.id), member.reachedAt(), ZoneId(member.zone),
+                                           Engine{engine.loads, engine.slots, engine.checksFence}});
+    }
+    for (const Member &member : this->services) {
+        configuration.upstreams.push_back(
+            {UpstreamId(member.id), member.reachedAt(), ZoneId(member.zone), PlainService{ServiceName(member.id)}});
+    }
+    return configuration;
+}
+
+bool Fleet::ready(const Member &instance) const
+{
+    return answersOk(instance.operators, "/readyz");
+}
+
+Json Fleet::status(const Member &instance) const
+{
+    const auto response = call(instance.operators, http::verb::get, "/status");
+    return response ? Json::parse(response->body(), nullptr, false) : Json();
+}
+
+bool Fleet::allShow(Revision revision)
+{
+    for (Member &member : this->instances) {
+        if (!member.process || !member.process->running()) {
+            continue;
+        }
+        const Json shown = this->status(member);
+        if (!shown.is_object() || shown.value("revision", std::uint64_t{0}) < revision.value()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+Records Fleet::records() const
+{
+    Records records;
+    for (const auto *group : {&this->platforms, &this->engines, &this->services}) {
+        for (const Member &member : *group) {
+            readRecords(member.record, UpstreamId(member.id), records);
+        }
+    }
+    return records;
+}
+
+} // namespace parsleyvane::rig
--- /dev/null
+++ b/tests/rig/process.cpp
@@ -0,0 +1,221 @@
+#include "rig/process.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <system_error>
+#include <thread>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace parsleyvane::rig {
+
+namespace {
+
+constexpr std::size_t maxChildren = 256;
+constexpr Milliseconds pollInterval{10};
+/// @brief Below the range from which the kernel takes the ports of outgoing connections.
+constexpr unsigned firstPort = 20000;
+constexpr unsigned portCount = 12000;
+constexpr unsigned portStride = 101;
+
+/// @brief The children alive, for the signal handler; 0 marks a free place.
+std::array<std::atomic<pid_t>, maxChildren> children;
+
+void keepChild(pid_t pid)
+{
+    for (std::atomic<pid_t> &place : children) {
+        pid_t none = 0;
+        if (place.compare_exchange_strong(none, pid)) {
+            return;
+        }
+    }
+    ::kill(pid, SIGKILL);
+    throw std::length_error("more child processes than the rig keeps track of");
+}
+
+void forgetChild(pid_t pid)
+{
+    for (std::atomic<pid_t> &place : children) {
+        pid_t expected = pid;
+        if (place.compare_exchange_strong(expected, 0)) {
+            return;
+        }
+    }
+}
+
+void killChildrenAndEnd(int number)
+{
+    for (const std::atomic<pid_t> &place : children) {
+        const pid_t pid = place.load();
+        if (pid > 0) {
+            ::kill(pid, SIGKILL);
+        }
+    }
+    constexpr int signalExitBase = 128;
+    ::_exit(signalExitBase + number);
+}
+
+bool portIsFree(unsigned port)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int result = ::bind(descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    ::close(descriptor);
+    return result == 0;
+}
+
+/// @brief What posix_spawn() needs, freed at the end of the scope.
+struct SpawnPlan
+{
+    posix_spawn_file_actions_t files{};
+    posix_spawnattr_t attributes{};
+
+    explicit SpawnPlan(const std::string &log)
+    {
+        constexpr mode_t logMode = 0644;
+        posix_spawn_file_actions_init(&this->files);
+        posix_spawn_file_actions_addopen(&this->files, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND,
+                                         logMode);
+        posix_spawn_file_actions_adddup2(&this->files, STDOUT_FILENO, STDERR_FILENO);
+        posix_spawnattr_init(&this->attributes);
+        sigset_t none;
+        sigemptyset(&none);
+        posix_spawnattr_setsigmask(&this->attributes, &none);
+        posix_spawnattr_setflags(&this->attributes, POSIX_SPAWN_SETSIGMASK);
+    }
+    ~SpawnPlan()
+    {
+        posix_spawn_file_actions_destroy(&this->files);
+        posix_spawnattr_destroy(&this->attributes);
+    }
+    SpawnPlan(const SpawnPlan &) = delete;
+    SpawnPlan &operator=(const SpawnPlan &) = delete;
+};
+
+} // namespace
+
+bool waitUntil(const std::function<bool()> &condition, Milliseconds bound)
+{
+    const auto limit = std::chrono::steady_clock::now() + bound;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= limit) {
+            return false;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+std::int64_t bootMilliseconds()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    const auto sinceBoot = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+    return std::chrono::duration_cast<Milliseconds>(sinceBoot).count();
+}
+
+std::string freeAddress()
+{
+    // Rigs that run side by side begin at different places.
+    static std::atomic<unsigned> next{static_cast<unsigned>(::getpid()) * portStride};
+    for (unsigned tried = 0; tried < portCount; ++tried) {
+        const unsigned port = firstPort + next++ % portCount;
+        if (portIsFree(port)) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
+    throw std::runtime_error("no free port");
+}
+
+void stopChildrenOnSignals()
+{
+    struct sigaction action
+    {
+    };
+    action.sa_handler = killChildrenAndEnd;
+    sigaction(SIGINT, &action, nullptr);
+    sigaction(SIGTERM, &action, nullptr);
+}
+
+Process::Process(const std::vector<std::string> &command, const std::filesystem::path &log)
+{
+    std::vector<char *> arguments;
+    for (const std::string &argument : command) {
+        arguments.push_back(const_cast<char *>(argument.c_str()));
+    }
+    arguments.push_back(nullptr);
+    const SpawnPlan plan(log.string());
+    const int error
+        = ::posix_spawn(&this->pid, arguments.front(), &plan.files, &plan.attributes, arguments.data(), environ);
+    if (error != 0) {
+        throw std::system_error(error, std::generic_category(), command.front());
+    }
+    keepChild(this->pid);
+}
+
+Process::~Process()
+{
+    this->kill();
+}
+
+void Process::signal(int number) const
+{
+    if (!this->ended) {
+        ::kill(this->pid, number);
+    }
+}
+
+void Process::kill()
+{
+    this->signal(SIGKILL);
+    this->wait();
+}
+
+void Process::freeze()
+{
+    this->signal(SIGSTOP);
+}
+
+void Process::thaw()
+{
+    this->signal(SIGCONT);
+}
+
+void Process::terminate()
+{
+    this->signal(SIGTERM);
+}
+
+bool Process::running()
+{
+    if (this->ended) {
+        return false;
+    }
+    int status = 0;
+    if (::waitpid(this->pid, &status, WNOHANG) != this->pid) {
+        return true;
+    }
+    forgetChild(this->pid);
+    this->ended = status;
+    return false;
+}
+
+std::optional<int> Process::wait(Milliseconds bound)
+{
+    waitUntil([this] { return !this->running(); }, bound);
+    return this->ended;
+}
+
+} // namespace parsleyvane::rig
