--- a/tests/rig/checkers.cpp
+++ b/tests/rig/checkers.cpp
@@ -1,9 +1,9 @@
 #include "rig/checkers.h"
 
 #include <fstream>
-#include <map>
 #include <nlohmann/json.hpp>
-#include <set>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace parsleyvane::rig {
 
@@ -45,14 +45,11 @@
                    event.value("at", std::int64_t{0})};
 }
 
-/// @brief A committed transaction lists the rows that it put.
-void readPuts(const Json &event, Records &records)
+/// @brief A committed write of a row.
+void readPut(const Json &event, Records &records)
 {
-    for (const Json &put : event.value("puts", Json::array())) {
-        const std::string key = put.is_string() ? put.get<std::string>() : put.value("key", "");
-        if (!key.starts_with(billPrefix)) {
-            continue;
-        }
+    const std::string key = event.value("key", "");
+    if (key.starts_with(billPrefix)) {
         records.bills.push_back({RequestId(key.substr(billPrefix.size()))});
     }
 }
@@ -60,6 +57,9 @@
 void readEvent(const Json &event, const UpstreamId &upstream, Records &records)
 {
     const std::string type = event.value("type", "");
+    if (event.value("account", "") == referenceAccount) {
+        return;
+    }
     if (type == "run") {
         records.runs.push_back(readRun(event, upstream));
     } else if (type == "ran") {
@@ -67,8 +67,8 @@
                                 event.value("outputTokens", std::int64_t{0}), event.value("at", std::int64_t{0})});
     } else if (type == "applied") {
         records.applied.push_back(readApplied(event, upstream));
-    } else if (type == "transact") {
-        readPuts(event, records);
+    } else if (type == "put") {
+        readPut(event, records);
     }
 }
 
@@ -153,8 +153,8 @@
 Violations checkSessions(const Records &records, const std::vector<CallerGot> &callers)
 {
     Violations violations;
-    std::map<std::string, ModelVersion> versionOf;
-    std::map<RequestId, std::string> conversationOf;
+    std::unordered_map<std::string, ModelVersion> versionOf;
+    std::unordered_map<RequestId, std::string> conversationOf;
     for (const CallerGot &got : callers) {
         if (got.conversation.empty() || !got.version) {
             continue;
@@ -179,7 +179,7 @@
 Violations checkBills(const Records &records, const std::vector<CallerGot> &callers)
 {
     Violations violations;
-    std::map<RequestId, int> writes;
+    std::unordered_map<RequestId, int> writes;
     for (const Billed &bill : records.bills) {
         if (++writes[bill.request] == 2) {
             violations.push_back({4, "request " + bill.request.str() + " was billed more than once"});
@@ -210,7 +210,7 @@
 
 Violations checkNotRun(const Records &records, const std::vector<CallerGot> &callers)
 {
-    std::map<RequestId, std::vector<const CallerGot *>> byRequest;
+    std::unordered_map<RequestId, std::vector<const CallerGot *>> byRequest;
     for (const CallerGot &got : callers) {
         if (!got.request.empty()) {
             byRequest[got.request].push_back(&got);
@@ -226,20 +226,25 @@
     return violations;
 }
 
-Violations checkAtMostOnce(const Records &records)
+Violations checkRunOnce(const Records &records)
 {
-    struct Identity
-    {
-        AccountId account;
-        std::string operation;
-        IdempotencyKey key;
+    Violations violations;
+    std::unordered_set<std::string> seen;
+    for (const Run &run : records.runs) {
+        if (!seen.insert(run.request.str() + " " + text(run.version)).second) {
+            violations.push_back({4, "request " + run.request.str() + " ran again on " + text(run.version)});
+        }
+    }
+    return violations;
+}
 
-        auto operator<=>(const Identity &) const = default;
-    };
+Violations checkAtMostOnce(const Records &records)
+{
     Violations violations;
-    std::set<Identity> seen;
+    std::unordered_set<std::string> seen;
     for (const Applied &applied : records.applied) {
-        if (seen.insert({applied.account, applied.operation, applied.key}).second) {
+        const std::string identity = applied.account.str() + " " + applied.operation + " " + applied.key.str();
+        if (seen.insert(identity).second) {
             continue;
         }
         violations.push_back({7,
@@ -294,17 +299,17 @@
                           Milliseconds bound)
 {
     Violations violations;
-    std::map<InstanceId, Revision> highest;
+    std::unordered_map<InstanceId, Revision> highest;
     for (const RevisionSeen &view : seen) {
         Revision &known = highest[view.instance];
-        if (view.revision < known) {
+        if (view.revision.value() < known.value()) {
             violations.push_back({10,
                                   view.instance.str() + " fell back from revision " + std::to_string(known.value())
                                       + " to " + std::to_string(view.revision.value())});
         }
-        known = std::max(known, view.revision);
+        known = Revision(std::max(known.value(), view.revision.value()));
         for (const Acceptance &acceptance : acceptances) {
-            if (view.at <= acceptance.at + bound.count() || view.revision >= acceptance.revision) {
+            if (view.at <= acceptance.at + bound.count() || view.revision.value() >= acceptance.revision.value()) {
                 continue;
             }
             violations.push_back({10,
--- a/tests/rig/checkers.h
+++ b/tests/rig/checkers.h
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace parsleyvane::rig {
@@ -134,6 +135,8 @@
 
 using Violations = std::vector<Violation>;
 
+/// @brief The account under which rigs ask an engine directly; its records are left out.
+constexpr std::string_view referenceAccount = "rig-reference";
 /// @brief From a withdrawal to the last run that may begin.
 constexpr Milliseconds withdrawalBound{5000};
 /// @brief From an upstream's leaving to the last new run.
@@ -159,6 +162,8 @@
 Violations checkAnswers(const std::vector<CallerGot> &callers);
 /// @brief Invariant 6: a request that was told "not run" has no run that another sending of it doesn't explain.
 Violations checkNotRun(const Records &records, const std::vector<CallerGot> &callers);
+/// @brief Where nothing failed: no request ran twice on one version.
+Violations checkRunOnce(const Records &records);
 /// @brief Invariant 7: at most one application for each account, operation and key.
 Violations checkAtMostOnce(const Records &records);
 /// @brief Invariant 8: a leaving upstream begins nothing later than the bound.
--- a/tests/rig/fleet.cpp
+++ b/tests/rig/fleet.cpp
@@ -2,7 +2,9 @@
 
 #include "parsleyvane/net/blockingclient.h"
 
+#include <algorithm>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 namespace parsleyvane::rig {
@@ -48,11 +50,59 @@
 
 std::string zoneName(unsigned index, unsigned zones)
 {
-    return "zone-" + std::string(1, static_cast<char>('a' + index % zones));
+    return std::string(1, static_cast<char>('a' + index % zones));
+}
+
+/// @brief The text of an engine's whole event stream.
+std::string textOfEvents(const std::string &events)
+{
+    constexpr std::string_view prefix = "data: ";
+    std::istringstream lines(events);
+    std::string text;
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(prefix)) {
+            text += Json::parse(line.substr(prefix.size())).value("text", "");
+        }
+    }
+    return text;
+}
+
+RunState runStateOf(const std::string &told)
+{
+    if (told == "not_run") {
+        return RunState::NotRun;
+    }
+    return told == "ran" ? RunState::Ran : RunState::Unknown;
 }
 
 } // namespace
 
+std::optional<ModelVersion> readModelVersion(const std::string &text)
+{
+    const auto at = text.find('@');
+    if (at == std::string::npos) {
+        return std::nullopt;
+    }
+    return ModelVersion{ModelName(text.substr(0, at)), VersionName(text.substr(at + 1))};
+}
+
+CallerGot observe(const Ask &ask, const Answer &answer, const Member &instance)
+{
+    CallerGot got;
+    got.account = AccountId(ask.account);
+    got.request = RequestId(answer.request);
+    got.key = IdempotencyKey(ask.idempotencyKey);
+    got.instance = InstanceId(instance.id);
+    got.version = readModelVersion(answer.version);
+    got.succeeded = answer.succeeded();
+    got.cutOff = !answer.succeeded() && !answer.error;
+    got.told = runStateOf(answer.runTold());
+    got.text = answer.text;
+    got.sentAt = answer.sentAt;
+    got.gotAt = answer.gotAt;
+    return got;
+}
+
 std::filesystem::path programDirectory()
 {
     return std::filesystem::read_symlink("/proc/self/exe").parent_path();
@@ -274,6 +324,31 @@
     return true;
 }
 
+std::string Fleet::referenceAnswer(const ModelVersion &version, const std::string &prompt, unsigned maxTokens) const
+{
+    const Json body{{"attempt", "rig-" + std::to_string(bootMilliseconds())},
+                    {"request", "rig"},
+                    {"account", referenceAccount},
+                    {"model", version.model.str()},
+                    {"version", version.version.str()},
+                    {"prompt", prompt},
+                    {"maxTokens", maxTokens},
+                    {"priority", 0},
+                    {"offset", 0},
+                    {"prefix", ""}};
+    for (std::size_t index = 0; index < this->engines.size(); ++index) {
+        const auto &loads = this->planned.engines.at(index).loads;
+        if (std::find(loads.begin(), loads.end(), version) == loads.end()) {
+            continue;
+        }
+        const auto response = call(this->engines.at(index).address, http::verb::post, "/generate", body);
+        if (response && response->result() == http::status::ok) {
+            return textOfEvents(response->body());
+        }
+    }
+    throw std::runtime_error("no engine answers for " + version.model.str() + "@" + version.version.str());
+}
+
 Records Fleet::records() const
 {
     Records records;
--- a/tests/rig/fleet.h
+++ b/tests/rig/fleet.h
@@ -119,6 +119,8 @@
     nlohmann::json status(const Member &instance) const;
     /// @brief Whether every running instance shows this revision or a later one.
     bool allShow(Revision revision);
+    /// @brief What an engine answers when it is asked directly. @throws std::runtime_error when it does not
+    std::string referenceAnswer(const ModelVersion &version, const std::string &prompt, unsigned maxTokens) const;
     /// @brief All that the stand-ins have recorded so far.
     Records records() const;
 
@@ -137,6 +139,12 @@
     std::vector<Member> instances;
 };
 
+/// @brief What the checkers need to know of one exchange.
+CallerGot observe(const Ask &ask, const Answer &answer, const Member &instance);
+
+/// @brief Reads "MODEL@VERSION".
+std::optional<ModelVersion> readModelVersion(const std::string &text);
+
 /// @brief The directory of the running program, where the build puts all programs.
 std::filesystem::path programDirectory();
 
--- a/tests/rig/process.cpp
+++ b/tests/rig/process.cpp
@@ -14,8 +14,6 @@
 #include <thread>
 #include <unistd.h>
 
-extern char **environ;
-
 namespace parsleyvane::rig {
 
 namespace {
@@ -152,6 +150,7 @@
 Process::Process(const std::vector<std::string> &command, const std::filesystem::path &log)
 {
     std::vector<char *> arguments;
+    arguments.reserve(command.size() + 1);
     for (const std::string &argument : command) {
         arguments.push_back(const_cast<char *>(argument.c_str()));
     }
--- a/tests/unit-checkers.cpp
+++ b/tests/unit-checkers.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(answers);
     CPPUNIT_TEST(notRun);
     CPPUNIT_TEST(notRunThenSentAgain);
+    CPPUNIT_TEST(runOnce);
     CPPUNIT_TEST(atMostOnce);
     CPPUNIT_TEST(departures);
     CPPUNIT_TEST(plannedStops);
@@ -143,6 +144,13 @@
         CPPUNIT_ASSERT(broken(checkNotRun({.runs = {runOf("r", wattle, 150)}}, both)) == std::vector{6});
     }
 
+    void runOnce()
+    {
+        CPPUNIT_ASSERT(broken(checkRunOnce({.runs = {runOf("r", wattle, 1), runOf("r", karri, 2)}})) == none);
+        CPPUNIT_ASSERT(broken(checkRunOnce({.runs = {runOf("r", wattle, 1), runOf("r", wattle, 2)}}))
+                       == std::vector{4});
+    }
+
     void atMostOnce()
     {
         CPPUNIT_ASSERT(broken(checkAtMostOnce({.applied = {appliedOf("k1", "a", 1), appliedOf("k2", "b", 2)}}))
@@ -188,12 +196,20 @@
             << R"({"type":"run","attempt":"a","request":"r","account":"c","model":"m","version":"v","at":7})"
             << "\n"
             << R"({"type":"applied","operation":"o","key":"k","attempt":"a","at":8})"
+            << "\n"
+            << R"({"type":"run","account":"rig-reference"})"
+            << "\n"
+            << R"({"type":"put","key":"bill/r","version":1})"
+            << "\n"
+            << R"({"type":"put","key":"runonce/c/k","version":1})"
             << "\n{\"type\":\"ru";
         Records records;
         readRecords(file, UpstreamId("u"), records);
         std::filesystem::remove(file);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.runs.size());
         CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, records.runs.front().at);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.bills.size());
+        CPPUNIT_ASSERT_EQUAL(RequestId("r"), records.bills.front().request);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, records.applied.size());
         CPPUNIT_ASSERT_EQUAL(IdempotencyKey("k"), records.applied.front().key);
     }
