--- a/include/parsleyvane/membership/digest.h
+++ b/include/parsleyvane/membership/digest.h
@@ -56,7 +56,8 @@
     /// @brief Whether the store answered this instance itself lately.
     bool storeInReach = false;
     bool leaving = false;
-    Evidence evidence;
+    /// @brief Empty when it is as last told to this receiver.
+    std::optional<Evidence> evidence;
 
     friend bool operator==(const Digest &, const Digest &) = default;
 };
--- /dev/null
+++ b/include/parsleyvane/membership/rendezvous.h
@@ -0,0 +1,33 @@
+/**
+ * @file
+ * @brief Rendezvous hashing: every instance makes the same choice from the same names, with no agreement.
+ */
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleyvane {
+
+/**
+ * @brief The weight of a candidate for a purpose; the candidates with the highest weights are chosen.
+ * @param purpose what is chosen for, such as "reader/zone-1"
+ * @param salt changes the choice, such as the number of a round
+ *
+ * Complexity: linear in the lengths.
+ */
+std::uint64_t rendezvousWeight(std::string_view purpose, std::string_view candidate, std::uint64_t salt = 0) noexcept;
+
+/**
+ * @brief The `count` candidates with the highest weights, in falling order. Complexity: n log count.
+ *
+ * @code
+ * const auto readers = chooseByRendezvous("reader/zone-1", names, 2);
+ * @endcode
+ */
+std::vector<std::string> chooseByRendezvous(std::string_view purpose, const std::vector<std::string> &candidates,
+                                            std::size_t count, std::uint64_t salt = 0);
+
+} // namespace parsleyvane
--- a/include/parsleyvane/net/controlplane.h
+++ b/include/parsleyvane/net/controlplane.h
@@ -53,7 +53,7 @@
 {
     std::uint64_t peerMessagesSent = 0;
     std::uint64_t peerMessagesReceived = 0;
-    std::uint64_t peerBytesSent = 0; ///< of digests and documents, without the frames of RPC and TCP
+    std::uint64_t peerBytesSent = 0; ///< with the frames of RPC, without those of TCP
     std::uint64_t peerBytesReceived = 0;
     std::uint64_t peerCallsFailed = 0;
     std::uint64_t storeReads = 0;
--- /dev/null
+++ b/src/net/peermailbox.cpp
@@ -0,0 +1,43 @@
+#include "peermailbox.h"
+
+#include <cstdint>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace parsleyvane {
+
+PeerMailbox::PeerMailbox()
+    : eventFd(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+}
+
+PeerMailbox::~PeerMailbox()
+{
+    ::close(this->eventFd);
+}
+
+void PeerMailbox::put(Task task)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->tasks.push_back(std::move(task));
+    }
+    const std::uint64_t one = 1;
+    // A full counter means that the loop has been woken already.
+    static_cast<void>(!::write(this->eventFd, &one, sizeof(one)));
+}
+
+std::vector<PeerMailbox::Task> PeerMailbox::takeAll()
+{
+    std::uint64_t count = 0;
+    static_cast<void>(!::read(this->eventFd, &count, sizeof(count)));
+    const std::lock_guard lock(this->mutex);
+    return std::exchange(this->tasks, {});
+}
+
+int PeerMailbox::descriptor() const noexcept
+{
+    return this->eventFd;
+}
+
+} // namespace parsleyvane
