--- a/include/parsleyvane/config/submission.h
+++ b/include/parsleyvane/config/submission.h
@@ -96,7 +96,8 @@
 /**
  * @brief Submits a whole configuration that was made from a known revision.
  *
- * After a lost reply the head is read back: the change identifier tells whether the own change was applied. The same
+ * After a lost reply the audit entry of the own revision is read back: its change identifier tells whether the own
+ * change was applied, also when others have followed it. The same
  * transaction may be sent again, since its check lets it apply once at most.
  *
  * @param proposed the configuration; its revision and change note are replaced
--- a/src/core/submission.cpp
+++ b/src/core/submission.cpp
@@ -59,16 +59,13 @@
             return std::nullopt;
         }
         this->result.revision = head->configuration.revision;
-        if (head->configuration.change.id == this->proposed.change.id) {
-            return SubmissionOutcome::Accepted;
-        }
         if (head->configuration.revision != this->basedOn) {
             return this->judgeOtherRevision();
         }
         return this->commitOn(*head);
     }
 
-    /// The head is another change. The own one may still have been applied, and been followed by others.
+    /// The head has moved on: by the own change, whose reply was lost and which others may have followed, or by theirs.
     std::optional<SubmissionOutcome> judgeOtherRevision()
     {
         if (this->maybeApplied) {
@@ -78,6 +75,7 @@
                 return std::nullopt;
             }
             if (entry->change.id == this->proposed.change.id) {
+                this->result.revision = this->proposed.revision;
                 return SubmissionOutcome::Accepted;
             }
         }
--- a/src/core/validate.cpp
+++ b/src/core/validate.cpp
@@ -65,10 +65,11 @@
     findings.require(seen.insert(id).second, place, "duplicate: '" + name + "' is used before");
 }
 
-bool allowsModel(const Account &account, const ModelName &model)
+bool allowsModel(const Configuration &configuration, const Account &account, const ModelName &model)
 {
-    return std::any_of(account.allowed.begin(), account.allowed.end(),
-                       [&](const ModelVersion &version) { return version.model == model; });
+    return std::any_of(account.allowed.begin(), account.allowed.end(), [&](const ModelVersion &version) {
+        return version.model == model && configuration.findVersion(version) != nullptr;
+    });
 }
 
 /// Checks the work of one task of an account.
@@ -108,8 +109,8 @@
     void checkModel(const ModelName &model, const std::string &where, std::set<ModelName> &seen) const
     {
         checkUnique(this->findings, seen, model, where, model.str());
-        this->findings.require(allowsModel(this->account, model), where,
-                               "the account allows no version of '" + model.str() + "'");
+        this->findings.require(allowsModel(this->configuration, this->account, model), where,
+                               "the account allows no configured version of '" + model.str() + "'");
     }
 };
 
