Keep log statements out of coroutines

Cause: each instance died of SIGILL at the end of a planned stop. gdb places it at the first step of Instance::writeBills, a coroutine with a glog statement behind 'if (!co_await ...)'; GCC 12 compiles the statement's temporaries in a coroutine frame to a trap. Ruled out: the nested event of the state machine (the same machine passes unit-shutdown), the acceptor, the peers' thread. Before: parsleyvaned ends a SIGTERM with 132. After: exit 0, 'stopped' logged (one instance by hand; the demo's seven). Conclusion: coroutines call plain functions that log.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -60,6 +60,11 @@
     return failure;
 }
 
+void reportException(const std::exception &error)
+{
+    LOG(ERROR) << "a request ended in an exception: " << error.what();
+}
+
 /// Whether the caller merely closed the connection, or it broke, so that no answer can reach it.
 bool isGone(const boost::system::error_code &error)
 {
@@ -216,7 +221,7 @@
     try {
         while (this->accepting && co_await this->serveOne(stream, buffer)) { }
     } catch (const std::exception &error) {
-        LOG(ERROR) << "a request ended in an exception: " << error.what();
+        reportException(error);
     }
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     --this->open;
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -46,6 +46,11 @@
             .seeds = settings.seeds};
 }
 
+void reportBillsAtRisk(std::size_t count)
+{
+    LOG(ERROR) << "stopping with " << count << " bills that nobody else holds";
+}
+
 /// The settings were checked, so the address is known to be one.
 asio::ip::tcp::endpoint checkedEndpoint(const std::string &address)
 {
@@ -167,8 +172,9 @@
 
 asio::awaitable<void> Instance::writeBills()
 {
-    if (!co_await this->bills.flush(flushLimit)) {
-        LOG(ERROR) << "stopping with " << this->bills.pending() << " bills that nobody else holds";
+    const bool safe = co_await this->bills.flush(flushLimit);
+    if (!safe) {
+        reportBillsAtRisk(this->bills.pending());
     }
     co_await sleepFor(partingPause);
     this->shutdown.process_event(BillsFlushed());
