--- a/src/net/storeprobe.cpp
+++ b/src/net/storeprobe.cpp
@@ -113,7 +113,8 @@
     try {
         InstanceList list;
         list.bytes = response->body().size();
-        for (const Json &row : Json::parse(response->body()).at("members")) {
+        const Json body = Json::parse(response->body());
+        for (const Json &row : body.at("members")) {
             list.members.push_back(readMember(row));
         }
         co_return list;
