Keep the linter clean over the command-line client and its core

clang-tidy 14 reports use-nullptr inside the defaulted <=> of the strong types wherever < or >= is written on them.

--- a/daemons/ctl/platformtable.cpp
+++ b/daemons/ctl/platformtable.cpp
@@ -162,7 +162,7 @@
         return reason.fail(badReply(this->address, error.what()));
     }
     std::sort(trail.begin(), trail.end(),
-              [](const AuditEntry &a, const AuditEntry &b) { return a.revision < b.revision; });
+              [](const AuditEntry &a, const AuditEntry &b) { return a.revision.value() < b.revision.value(); });
     return trail;
 }
 
--- a/src/core/answersection.cpp
+++ b/src/core/answersection.cpp
@@ -40,7 +40,7 @@
 
 std::string AnswerSection::identifier(const std::string &key)
 {
-    const std::string value = this->text(key).value_or("");
+    std::string value = this->text(key).value_or("");
     if (!isIdentifier(value)) {
         this->report(key, value, "1 to 48 letters, digits, '.', '-' or '_'");
     }
@@ -49,7 +49,7 @@
 
 std::string AnswerSection::address(const std::string &key)
 {
-    const std::string value = this->text(key).value_or("");
+    std::string value = this->text(key).value_or("");
     if (!isAddressWithPort(value)) {
         this->report(key, value, "IP:PORT with a port from 1 to 65535");
     }
--- a/src/core/answerswriter.cpp
+++ b/src/core/answerswriter.cpp
@@ -137,17 +137,17 @@
 void writeTasks(IniWriter &writer, const std::vector<Account> &accounts)
 {
     std::vector<Task> tasks;
-    std::map<TaskName, std::vector<std::string>> owners;
+    std::map<std::string, std::vector<std::string>> owners;
     for (const Account &account : accounts) {
         for (const Task &task : account.tasks) {
-            if (!owners.contains(task.name)) {
+            if (!owners.contains(task.name.str())) {
                 tasks.push_back(task);
             }
-            owners[task.name].push_back(account.id.str());
+            owners[task.name.str()].push_back(account.id.str());
         }
     }
     for (const Task &task : tasks) {
-        writeTask(writer, task, owners[task.name]);
+        writeTask(writer, task, owners[task.name.str()]);
     }
 }
 
--- a/src/core/interview.cpp
+++ b/src/core/interview.cpp
@@ -244,7 +244,7 @@
             if (name.empty()) {
                 return;
             }
-            this->text += "[" + kind + " " + name + "]\n";
+            this->text.append("[").append(kind).append(" ").append(name).append("]\n");
             this->askAll(questions);
         }
     }
--- a/src/core/validate.cpp
+++ b/src/core/validate.cpp
@@ -58,11 +58,12 @@
     return text.size() >= leastDigits && isHex(text);
 }
 
-template<typename Id>
-void checkUnique(Findings &findings, std::set<Id> &seen, const Id &id, const std::string &place,
-                 const std::string &name)
+/// Names that were used before in one list.
+using SeenNames = std::set<std::string>;
+
+void checkUnique(Findings &findings, SeenNames &seen, const std::string &name, const std::string &place)
 {
-    findings.require(seen.insert(id).second, place, "duplicate: '" + name + "' is used before");
+    findings.require(seen.insert(name).second, place, "duplicate: '" + name + "' is used before");
 }
 
 bool allowsModel(const Configuration &configuration, const Account &account, const ModelName &model)
@@ -88,7 +89,7 @@
         this->findings.require(work.maxTokens > 0, this->place + ".maxTokens", "is 0");
         this->findings.require(this->task.repeatable || work.chain.size() <= 1, this->place + ".repeatable",
                                "is false, but a chain of several models runs the request several times");
-        std::set<ModelName> seen;
+        SeenNames seen;
         for (std::size_t i = 0; i < work.chain.size(); ++i) {
             this->checkModel(work.chain[i], at(this->place + ".chain", i), seen);
         }
@@ -106,9 +107,9 @@
     }
 
 private:
-    void checkModel(const ModelName &model, const std::string &where, std::set<ModelName> &seen) const
+    void checkModel(const ModelName &model, const std::string &where, SeenNames &seen) const
     {
-        checkUnique(this->findings, seen, model, where, model.str());
+        checkUnique(this->findings, seen, model.str(), where);
         this->findings.require(allowsModel(this->configuration, this->account, model), where,
                                "the account allows no configured version of '" + model.str() + "'");
     }
@@ -117,12 +118,12 @@
 void checkTasks(const Configuration &configuration, const Account &account, const std::string &place,
                 Findings &findings)
 {
-    std::set<TaskName> seen;
+    SeenNames seen;
     for (std::size_t i = 0; i < account.tasks.size(); ++i) {
         const Task &task = account.tasks[i];
         const std::string where = at(place + ".tasks", i);
         findings.require(isIdentifier(task.name.str()), where + ".name", "is not an identifier");
-        checkUnique(findings, seen, task.name, where + ".name", task.name.str());
+        checkUnique(findings, seen, task.name.str(), where + ".name");
         findings.require(task.maxWait > Milliseconds(0), where + ".maxWaitMs", "is not positive");
         std::visit(WorkChecker{configuration, account, task, where, findings}, task.work);
     }
@@ -141,19 +142,19 @@
 
 void checkAccounts(const Configuration &configuration, Findings &findings)
 {
-    std::set<AccountId> accounts;
-    std::set<std::string> hashes;
+    SeenNames accounts;
+    SeenNames hashes;
     for (std::size_t i = 0; i < configuration.accounts.size(); ++i) {
         const Account &account = configuration.accounts[i];
         const std::string place = at("accounts", i);
         findings.require(isIdentifier(account.id.str()), place + ".id", "is not an identifier");
-        checkUnique(findings, accounts, account.id, place + ".id", account.id.str());
+        checkUnique(findings, accounts, account.id.str(), place + ".id");
         findings.require(!account.keyHashes.empty(), place + ".keyHashes", "is empty, so nobody can use the account");
         for (std::size_t k = 0; k < account.keyHashes.size(); ++k) {
             const std::string &hash = account.keyHashes[k];
             findings.require(hash.size() == sha256HexDigits && isHex(hash), at(place + ".keyHashes", k),
                              "is not 64 hexadecimal digits");
-            checkUnique(findings, hashes, hash, at(place + ".keyHashes", k), hash);
+            checkUnique(findings, hashes, hash, at(place + ".keyHashes", k));
         }
         for (std::size_t v = 0; v < account.allowed.size(); ++v) {
             findings.require(configuration.findVersion(account.allowed[v]) != nullptr, at(place + ".allowed", v),
@@ -165,14 +166,17 @@
 }
 
 /// The models that some task's chain names.
-std::set<ModelName> modelsInChains(const Configuration &configuration)
+SeenNames modelsInChains(const Configuration &configuration)
 {
-    std::set<ModelName> models;
+    SeenNames models;
     for (const Account &account : configuration.accounts) {
         for (const Task &task : account.tasks) {
             const auto *work = std::get_if<ModelTask>(&task.work);
-            if (work != nullptr) {
-                models.insert(work->chain.begin(), work->chain.end());
+            if (work == nullptr) {
+                continue;
+            }
+            for (const ModelName &model : work->chain) {
+                models.insert(model.str());
             }
         }
     }
@@ -202,18 +206,18 @@
 
 void checkVersions(const Configuration &configuration, Findings &findings)
 {
-    std::set<ModelVersion> seen;
+    SeenNames seen;
     for (std::size_t i = 0; i < configuration.versions.size(); ++i) {
         const VersionEntry &entry = configuration.versions[i];
         const std::string place = at("versions", i);
         const bool named = isIdentifier(entry.id.model.str()) && isIdentifier(entry.id.version.str());
         findings.require(named, place, "model and version have to be identifiers");
-        checkUnique(findings, seen, entry.id, place, versionText(entry.id));
-        findings.require(entry.costPerMillionTokens >= MicroCost(0), place + ".costPerMillionTokens", "is negative");
+        checkUnique(findings, seen, versionText(entry.id), place);
+        findings.require(entry.costPerMillionTokens.value() >= 0, place + ".costPerMillionTokens", "is negative");
     }
-    for (const ModelName &model : modelsInChains(configuration)) {
-        findings.require(!isIdleByMistake(configuration, model), "versions",
-                         "a chain names '" + model.str() + "', but none of its versions serves with a weight over 0");
+    for (const std::string &model : modelsInChains(configuration)) {
+        findings.require(!isIdleByMistake(configuration, ModelName(model)), "versions",
+                         "a chain names '" + model + "', but none of its versions serves with a weight over 0");
     }
 }
 
@@ -227,11 +231,11 @@
     void operator()(const Engine &engine) const
     {
         this->findings.require(engine.slots > 0, this->place + ".slots", "is 0");
-        std::set<ModelVersion> seen;
+        SeenNames seen;
         for (std::size_t i = 0; i < engine.loads.size(); ++i) {
             const std::string where = at(this->place + ".loads", i);
             const std::string name = versionText(engine.loads[i]);
-            checkUnique(this->findings, seen, engine.loads[i], where, name);
+            checkUnique(this->findings, seen, name, where);
             this->findings.require(this->configuration.findVersion(engine.loads[i]) != nullptr, where,
                                    "'" + name + "' is not configured");
         }
@@ -244,16 +248,16 @@
 
 void checkUpstreams(const Configuration &configuration, Findings &findings)
 {
-    std::set<UpstreamId> ids;
-    std::set<std::string> addresses;
+    SeenNames ids;
+    SeenNames addresses;
     for (std::size_t i = 0; i < configuration.upstreams.size(); ++i) {
         const Upstream &upstream = configuration.upstreams[i];
         const std::string place = at("upstreams", i);
         findings.require(isIdentifier(upstream.id.str()), place + ".id", "is not an identifier");
-        checkUnique(findings, ids, upstream.id, place + ".id", upstream.id.str());
+        checkUnique(findings, ids, upstream.id.str(), place + ".id");
         findings.require(isAddressWithPort(upstream.address), place + ".address",
                          "'" + upstream.address + "' is not IP:PORT");
-        checkUnique(findings, addresses, upstream.address, place + ".address", upstream.address);
+        checkUnique(findings, addresses, upstream.address, place + ".address");
         findings.require(isIdentifier(upstream.zone.str()), place + ".zone", "is not an identifier");
         std::visit(KindChecker{configuration, place, findings}, upstream.kind);
     }
@@ -262,12 +266,12 @@
 void checkSessionKeys(const Configuration &configuration, Findings &findings)
 {
     findings.require(!configuration.sessionKeys.empty(), "sessionKeys", "is empty, so no session can be started");
-    std::set<std::string> ids;
+    SeenNames ids;
     for (std::size_t i = 0; i < configuration.sessionKeys.size(); ++i) {
         const SessionKey &key = configuration.sessionKeys[i];
         const std::string place = at("sessionKeys", i);
         findings.require(isIdentifier(key.id), place + ".id", "is not an identifier");
-        checkUnique(findings, ids, key.id, place + ".id", key.id);
+        checkUnique(findings, ids, key.id, place + ".id");
         findings.require(allHex(key.secret, leastSecretHexDigits), place + ".secret",
                          "is not at least 32 bytes in hexadecimal");
     }
@@ -275,11 +279,11 @@
 
 void checkRollouts(const Configuration &configuration, Findings &findings)
 {
-    std::set<ModelName> models;
+    SeenNames models;
     for (std::size_t i = 0; i < configuration.rollouts.size(); ++i) {
         const Rollout &rollout = configuration.rollouts[i];
         const std::string place = at("rollouts", i);
-        checkUnique(findings, models, rollout.model, place + ".model", rollout.model.str());
+        checkUnique(findings, models, rollout.model.str(), place + ".model");
         findings.require(rollout.from != rollout.to, place + ".to", "is the same version as from");
         findings.require(configuration.findVersion({rollout.model, rollout.from}) != nullptr, place + ".from",
                          "'" + versionText({rollout.model, rollout.from}) + "' is not configured");
