--- a/daemons/ctl/configcommands.cpp
+++ b/daemons/ctl/configcommands.cpp
@@ -59,7 +59,7 @@
     LastReason reason;
     const auto base = readBase(reason);
     if (!base) {
-        return failWith(ExitCode::Failure, reason.failure());
+        return failReading(reason.failure());
     }
     Configuration generated = amend(*base, *answers);
     addSessionKey(generated);
@@ -112,7 +112,7 @@
     LastReason reason;
     const auto configuration = readConfigurationFile(absl::GetFlag(FLAGS_file), reason);
     if (!configuration) {
-        return failWith(ExitCode::InvalidConfiguration, reason.failure());
+        return failReading(reason.failure());
     }
     const ExitCode code = reportContradictions(*configuration);
     if (code == ExitCode::Ok) {
@@ -126,12 +126,11 @@
     LastReason reason;
     const auto after = readConfigurationFile(absl::GetFlag(FLAGS_file), reason);
     if (!after) {
-        return failWith(ExitCode::InvalidConfiguration, reason.failure());
+        return failReading(reason.failure());
     }
     const auto before = readBase(reason);
     if (!before) {
-        return failWith(absl::GetFlag(FLAGS_base).empty() ? ExitCode::OutcomeUnknown : ExitCode::InvalidConfiguration,
-                        reason.failure());
+        return failReading(reason.failure());
     }
     const auto changes = diff(*before, *after);
     print(Json{{"revision", before->revision.value()}, {"changes", changesJson(changes)}}, changesText(changes));
@@ -143,7 +142,7 @@
     LastReason reason;
     const auto head = PlatformTable(absl::GetFlag(FLAGS_platform)).readHead(reason);
     if (!head) {
-        return failWith(ExitCode::OutcomeUnknown, reason.failure());
+        return failReading(reason.failure());
     }
     const std::string text = Json::parse(serialise(head->configuration)).dump(2) + "\n";
     if (!writeFile(absl::GetFlag(FLAGS_out), text, reason)) {
--- a/daemons/ctl/main.cpp
+++ b/daemons/ctl/main.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <sys/stat.h>
 
 namespace parsleyvane::ctl {
 
@@ -172,6 +173,8 @@
 
 int main(int argc, char **argv)
 {
+    // Configurations hold the keys that sign session tokens.
+    umask(S_IRWXG | S_IRWXO);
     try {
         return static_cast<int>(parsleyvane::ctl::run(argc, argv));
     } catch (const std::exception &error) {
--- a/daemons/ctl/options.cpp
+++ b/daemons/ctl/options.cpp
@@ -89,6 +89,7 @@
                      {"name", errorName(failure.id)},
                      {"step", stepName(failure.step)},
                      {"peer", failure.peer},
+                     {"run", runStateName(failure.runState)},
                      {"message", failure.detail}}}},
               "");
     }
@@ -96,6 +97,15 @@
     return code;
 }
 
+ExitCode failReading(const Failure &failure)
+{
+    if (failure.id == ErrorId::InvalidConfiguration) {
+        return failWith(ExitCode::InvalidConfiguration, failure);
+    }
+    const bool ownFile = failure.id == ErrorId::InvalidSetting;
+    return failWith(ownFile ? ExitCode::Failure : ExitCode::OutcomeUnknown, failure);
+}
+
 ExitCode reportProblems(const std::vector<SettingProblem> &problems)
 {
     Json list = Json::array();
--- a/daemons/ctl/options.h
+++ b/daemons/ctl/options.h
@@ -54,6 +54,8 @@
 ExitCode usageError(const std::string &message);
 /// @brief Reports a failure and returns the code that is given.
 ExitCode failWith(ExitCode code, const Failure &failure);
+/// @brief Reports why a file or the platform could not be read, with the code that fits the cause.
+ExitCode failReading(const Failure &failure);
 /// @brief Reports problems of settings or answers.
 ExitCode reportProblems(const std::vector<SettingProblem> &problems);
 /// @brief Reports the contradictions of a configuration, if any; Ok when there are none.
--- a/daemons/ctl/platformtable.cpp
+++ b/daemons/ctl/platformtable.cpp
@@ -141,28 +141,24 @@
     return row->version == 0 ? AuditEntry{} : parseAuditEntry(row->value, reason);
 }
 
-std::optional<std::vector<AuditEntry>> PlatformTable::readTrail(LastReason &reason)
+std::optional<std::vector<AuditEntry>> PlatformTable::readTrail(std::size_t limit, LastReason &reason)
 {
-    const auto response
-        = blockingCall(this->address, makeRequest(verb::get, "/table/scan?prefix=" + auditPrefix), reason);
-    if (!response) {
+    const auto head = this->readHead(reason);
+    if (!head) {
         return std::nullopt;
     }
     std::vector<AuditEntry> trail;
-    try {
-        const Json body = Json::parse(response->body());
-        for (const Json &row : body.at("rows")) {
-            auto entry = parseAuditEntry(row.at("value").dump(), reason);
-            if (!entry) {
-                return std::nullopt;
-            }
-            trail.push_back(std::move(*entry));
+    for (std::uint64_t number = head->configuration.revision.value(); number > 0 && trail.size() < limit; --number) {
+        auto entry = this->readAudit(Revision(number), reason);
+        if (!entry) {
+            return std::nullopt;
         }
-    } catch (const std::exception &error) {
-        return reason.fail(badReply(this->address, error.what()));
+        if (entry->change.id.empty()) {
+            break;
+        }
+        trail.push_back(std::move(*entry));
     }
-    std::sort(trail.begin(), trail.end(),
-              [](const AuditEntry &a, const AuditEntry &b) { return a.revision.value() < b.revision.value(); });
+    std::reverse(trail.begin(), trail.end());
     return trail;
 }
 
--- a/daemons/ctl/platformtable.h
+++ b/daemons/ctl/platformtable.h
@@ -23,8 +23,9 @@
     /// @brief Reads the row and confirms by an empty transaction that it is not a stale one.
     std::optional<HeadRow> readHead(LastReason &reason) override;
     std::optional<AuditEntry> readAudit(Revision revision, LastReason &reason) override;
-    /// @brief The whole audit trail, oldest first. @param reason why the result is empty
-    std::optional<std::vector<AuditEntry>> readTrail(LastReason &reason);
+    /// @brief The latest entries of the audit trail, oldest first. Complexity: linear in `limit`, whatever the trail's
+    /// length. @param reason why the result is empty
+    std::optional<std::vector<AuditEntry>> readTrail(std::size_t limit, LastReason &reason);
 
     // modifiers
     CommitOutcome commit(std::uint64_t rowVersion, const Configuration &configuration, const AuditEntry &entry,
--- a/daemons/ctl/statuscommand.cpp
+++ b/daemons/ctl/statuscommand.cpp
@@ -66,10 +66,14 @@
 
 ExitCode runStatus(const Arguments & /*arguments*/)
 {
+    const std::vector<std::string> addresses = splitList(absl::GetFlag(FLAGS_instances));
+    if (addresses.empty()) {
+        return usageError("--instances=IP:PORT,... is needed");
+    }
     Json list = Json::array();
     std::string text;
     ExitCode code = ExitCode::Ok;
-    for (const std::string &address : splitList(absl::GetFlag(FLAGS_instances))) {
+    for (const std::string &address : addresses) {
         LastReason reason;
         const auto status = fetchStatus(address, reason);
         if (!status) {
--- a/daemons/ctl/submitcommands.cpp
+++ b/daemons/ctl/submitcommands.cpp
@@ -71,10 +71,12 @@
     if (result.outcome == SubmissionOutcome::Lost) {
         return reportLost(platform, result, failure);
     }
+    Failure told = failure;
     if (result.outcome == SubmissionOutcome::Unknown) {
-        std::cerr << "parsleyvanectl: the change " << note.id << " may have been applied; see parsleyvanectl audit\n";
+        told.runState = RunState::Unknown;
+        told.detail += "; change " + note.id + " may have been applied, see parsleyvanectl audit";
     }
-    return failWith(exitCodeOf(result.outcome), failure);
+    return failWith(exitCodeOf(result.outcome), told);
 }
 
 ExitCode runSubmit(const Arguments & /*arguments*/)
@@ -82,7 +84,7 @@
     LastReason reason;
     const auto proposed = readConfigurationFile(absl::GetFlag(FLAGS_file), reason);
     if (!proposed) {
-        return failWith(ExitCode::InvalidConfiguration, reason.failure());
+        return failReading(reason.failure());
     }
     const ExitCode contradictions = reportContradictions(*proposed);
     if (contradictions != ExitCode::Ok) {
@@ -103,13 +105,9 @@
 ExitCode runAudit(const Arguments & /*arguments*/)
 {
     LastReason reason;
-    auto trail = PlatformTable(absl::GetFlag(FLAGS_platform)).readTrail(reason);
+    const auto trail = PlatformTable(absl::GetFlag(FLAGS_platform)).readTrail(absl::GetFlag(FLAGS_limit), reason);
     if (!trail) {
-        return failWith(ExitCode::OutcomeUnknown, reason.failure());
-    }
-    const std::size_t limit = absl::GetFlag(FLAGS_limit);
-    if (trail->size() > limit) {
-        trail->erase(trail->begin(), trail->end() - static_cast<std::ptrdiff_t>(limit));
+        return failReading(reason.failure());
     }
     Json list = Json::array();
     std::string text;
--- a/tests/unit-questionnaire.cpp
+++ b/tests/unit-questionnaire.cpp
@@ -1,4 +1,5 @@
 #include "sampleconfiguration.h"
+#include "sourcefile.h"
 #include "suite.h"
 
 #include "parsleyvane/config/interview.h"
@@ -6,27 +7,12 @@
 #include "parsleyvane/config/validate.h"
 #include "parsleyvane/core/digest.h"
 
-#include <fstream>
 #include <sstream>
 
 namespace parsleyvane {
 
 namespace {
 
-/// The test programs run in the build folder or at the root.
-std::string readAnswersFile(const std::string &name)
-{
-    for (const char *folder : {"answers/", "../answers/"}) {
-        const std::ifstream file(folder + name);
-        if (file) {
-            std::ostringstream text;
-            text << file.rdbuf();
-            return text.str();
-        }
-    }
-    return {};
-}
-
 Answers mustRead(const std::string &text)
 {
     std::vector<SettingProblem> problems;
@@ -37,8 +23,8 @@
 
 Configuration committedConfiguration()
 {
-    const Configuration lumara = amend(Configuration{}, mustRead(readAnswersFile("lumara.ini")));
-    Configuration both = amend(lumara, mustRead(readAnswersFile("txoko.ini")));
+    const Configuration lumara = amend(Configuration{}, mustRead(test::readSourceFile("answers/lumara.ini")));
+    Configuration both = amend(lumara, mustRead(test::readSourceFile("answers/txoko.ini")));
     both.sessionKeys.push_back({"key-1", std::string(64, '1')});
     return both;
 }
@@ -136,7 +122,7 @@
         Configuration base = committedConfiguration();
         base.versions[0].state = VersionState::Withdrawn;
         base.versions[0].weight = 0;
-        const Configuration amended = amend(base, mustRead(readAnswersFile("lumara.ini")));
+        const Configuration amended = amend(base, mustRead(test::readSourceFile("answers/lumara.ini")));
         CPPUNIT_ASSERT(amended.versions[0].state == VersionState::Withdrawn);
         CPPUNIT_ASSERT_EQUAL(0U, amended.versions[0].weight);
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, amended.accounts.size());
@@ -204,7 +190,7 @@
 
     void takesEveryByteString()
     {
-        const std::string good = readAnswersFile("txoko.ini");
+        const std::string good = test::readSourceFile("answers/txoko.ini");
         CPPUNIT_ASSERT(!good.empty());
         test::property("any bytes are read or reported", [&](const std::string &bytes, std::uint16_t cut) {
             std::string text = good;
--- a/tests/unit-settings.cpp
+++ b/tests/unit-settings.cpp
@@ -1,3 +1,4 @@
+#include "sourcefile.h"
 #include "suite.h"
 
 #include "parsleyvane/config/settings.h"
@@ -38,6 +39,7 @@
 {
     CPPUNIT_TEST_SUITE(SettingsTest);
     CPPUNIT_TEST(readsEveryKind);
+    CPPUNIT_TEST(theExampleHoldsTheDefaults);
     CPPUNIT_TEST(reportsAllProblemsAtOnce);
     CPPUNIT_TEST(reportsUnreadableLines);
     CPPUNIT_TEST(checksOverridesAlike);
@@ -57,6 +59,16 @@
         CPPUNIT_ASSERT(settings->limits.requestTimeout == Milliseconds(10000));
     }
 
+    void theExampleHoldsTheDefaults()
+    {
+        std::vector<SettingProblem> problems;
+        const auto settings = readSettings(test::readSourceFile("docs/examples/parsleyvaned.ini"), "f.ini", problems);
+        CPPUNIT_ASSERT(settings.has_value());
+        const LimitSettings defaults;
+        CPPUNIT_ASSERT_EQUAL(defaults.bodyBytes, settings->limits.bodyBytes);
+        CPPUNIT_ASSERT(defaults.billHold == settings->limits.billHold);
+    }
+
     void reportsAllProblemsAtOnce()
     {
         const std::string text = "[instance]\nid = a b\nid = c\ncolour = red\n[listen]\ncallers = localhost:80\n"
