--- a/cmake/bench.cmake
+++ b/cmake/bench.cmake
@@ -0,0 +1,5 @@
+add_executable(bench-control bench/control.cpp)
+target_link_libraries(bench-control PRIVATE parsleyvane-net)
+target_include_directories(bench-control PRIVATE tests)
+add_test(NAME bench-control COMMAND bench-control)
+set_tests_properties(bench-control PROPERTIES LABELS slow)
--- a/include/parsleyvane/membership/membership.h
+++ b/include/parsleyvane/membership/membership.h
@@ -110,10 +110,10 @@
     TimePoint nextDue() const;
     /// @brief All other instances known, without those that left.
     const std::map<InstanceId, Member> &members() const noexcept;
-    /// @brief The member at this address; null when there is none. Complexity: linear.
+    /// @brief The member at this address; null when there is none. Complexity: logarithmic.
     const InstanceId *findByAddress(const std::string &address) const;
     /// @brief Whether this instance is one that reads the store for its zone.
-    bool isReader() const;
+    bool isReader() const noexcept;
     /// @brief Whose word counts for "most of the fleet".
     Electorate electorate() const;
 
@@ -123,6 +123,11 @@
     void removeSilent(TimePoint now, bool listIsNew, MembershipActions &actions);
     void expireSeeds(TimePoint now);
     std::vector<std::string> zoneMembers() const;
+    std::map<InstanceId, Member>::iterator forget(std::map<InstanceId, Member>::iterator place);
+    void chooseReaders();
+    void addListed(const ListedInstance &row, TimePoint now);
+    void move(const InstanceId &id, Member &member, const std::string &address);
+    void addVoter(const InstanceId &id, const Member &member, Electorate &electorate) const;
 
     InstanceId self;
     ZoneId zone;
@@ -130,7 +135,9 @@
     Incarnation incarnation;
     MembershipLimits limits;
     std::map<InstanceId, Member> known;
+    std::map<std::string, InstanceId> byAddress; ///< of the members known
     std::set<std::string> seeds; ///< addresses not yet matched to a member
+    bool reader = true;
     std::optional<TimePoint> firstListAt;
     std::map<std::string, TimePoint> due; ///< calls left in this round
     std::vector<std::string> partners; ///< of this round
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -33,27 +33,44 @@
         member.listed = false;
     }
     for (const ListedInstance &row : list) {
-        if (row.instance == this->self || row.address == this->address) {
-            continue;
-        }
-        const auto [place, added] = this->known.try_emplace(row.instance);
-        Member &member = place->second;
-        member.listed = true;
-        // The list lags: what the instance itself told goes first.
-        if (!member.heardAt) {
-            member.zone = row.zone;
-            member.address = row.address;
-            member.leaving = member.leaving || row.leaving;
-            this->seeds.erase(row.address);
-        }
-        if (added) {
-            member.knownSince = now;
+        if (row.instance != this->self && row.address != this->address) {
+            this->addListed(row, now);
         }
     }
     this->removeSilent(now, true, actions);
+    this->chooseReaders();
     return actions;
 }
 
+void Membership::addListed(const ListedInstance &row, TimePoint now)
+{
+    const auto [place, added] = this->known.try_emplace(row.instance);
+    Member &member = place->second;
+    member.listed = true;
+    member.knownSince = added ? now : member.knownSince;
+    // The list lags: what the instance itself told goes first.
+    if (member.heardAt) {
+        return;
+    }
+    member.zone = row.zone;
+    member.leaving = member.leaving || row.leaving;
+    this->move(row.instance, member, row.address);
+    this->seeds.erase(row.address);
+}
+
+void Membership::move(const InstanceId &id, Member &member, const std::string &address)
+{
+    if (member.address == address) {
+        return;
+    }
+    const auto former = this->byAddress.find(member.address);
+    if (former != this->byAddress.end() && former->second == id) {
+        this->byAddress.erase(former);
+    }
+    member.address = address;
+    this->byAddress.insert_or_assign(address, id);
+}
+
 bool Membership::onDigest(const Digest &digest, TimePoint now)
 {
     if (digest.instance == this->self || digest.instance.empty()) {
@@ -68,23 +85,38 @@
         if (place->second.incarnation > digest.incarnation) {
             return false;
         }
-        this->known.erase(place);
+        this->forget(place);
     }
     Member &member = this->known[digest.instance];
+    const Member before = member;
     const bool restarted = member.incarnation < digest.incarnation;
     member.revision = restarted ? digest.revision : std::max(member.revision, digest.revision);
     member.leaving = digest.leaving || (member.leaving && !restarted);
     member.knownSince = member.heardAt ? member.knownSince : now;
     member.zone = digest.zone;
-    member.address = digest.address;
     member.incarnation = digest.incarnation;
     member.heardAt = now;
     member.failures = 0;
     member.suspected = false;
+    this->move(digest.instance, member, digest.address);
     this->seeds.erase(digest.address);
+    const bool changed
+        = !before.heardAt || before.zone != member.zone || before.leaving != member.leaving || before.suspected;
+    if (changed) {
+        this->chooseReaders();
+    }
     return true;
 }
 
+std::map<InstanceId, Member>::iterator Membership::forget(std::map<InstanceId, Member>::iterator place)
+{
+    const auto address = this->byAddress.find(place->second.address);
+    if (address != this->byAddress.end() && address->second == place->first) {
+        this->byAddress.erase(address);
+    }
+    return this->known.erase(place);
+}
+
 void Membership::onCallFailed(const std::string &address)
 {
     const InstanceId *id = this->findByAddress(address);
@@ -93,7 +125,11 @@
     }
     Member &member = this->known.at(*id);
     ++member.failures;
-    member.suspected = member.failures >= this->limits.suspectAfter;
+    const bool suspected = member.failures >= this->limits.suspectAfter;
+    if (suspected != member.suspected) {
+        member.suspected = suspected;
+        this->chooseReaders();
+    }
 }
 
 void Membership::dropSeed(const std::string &address)
@@ -188,7 +224,7 @@
             continue;
         }
         actions.close.push_back(member.address);
-        place = this->known.erase(place);
+        place = this->forget(place);
     }
 }
 
@@ -218,12 +254,8 @@
 
 const InstanceId *Membership::findByAddress(const std::string &address) const
 {
-    for (const auto &[id, member] : this->known) {
-        if (member.address == address) {
-            return &id;
-        }
-    }
-    return nullptr;
+    const auto place = this->byAddress.find(address);
+    return place == this->byAddress.end() ? nullptr : &place->second;
 }
 
 std::vector<std::string> Membership::zoneMembers() const
@@ -237,38 +269,50 @@
     return names;
 }
 
-bool Membership::isReader() const
+void Membership::chooseReaders()
 {
     const std::vector<std::string> candidates = this->zoneMembers();
     const std::size_t count = std::max(this->limits.zoneReaders, candidates.size() / this->limits.zoneShare);
-    if (candidates.size() <= count) {
-        return true;
-    }
     const auto readers = chooseByRendezvous("reader/" + this->zone.str(), candidates, count);
-    return std::find(readers.begin(), readers.end(), this->self.str()) != readers.end();
+    this->reader = std::find(readers.begin(), readers.end(), this->self.str()) != readers.end();
+}
+
+bool Membership::isReader() const noexcept
+{
+    return this->reader;
 }
 
 Electorate Membership::electorate() const
 {
     Electorate result;
-    const bool mesh = this->known.size() + this->seeds.size() <= this->limits.meshSize;
+    result.sampled = this->known.size() + this->seeds.size() > this->limits.meshSize;
+    if (!result.sampled) {
+        for (const auto &[id, member] : this->known) {
+            this->addVoter(id, member, result);
+        }
+        result.unknown = this->seeds.size();
+        return result;
+    }
     std::set<std::string> sample(this->partners.begin(), this->partners.end());
     sample.insert(this->formerPartners.begin(), this->formerPartners.end());
-    for (const auto &[id, member] : this->known) {
-        if (member.leaving || (!mesh && !sample.contains(member.address))) {
-            continue;
-        }
-        result.peers.push_back(id);
-        if (member.zone != this->zone) {
-            result.otherZones.insert(id);
+    for (const std::string &partner : sample) {
+        if (const InstanceId *id = this->findByAddress(partner)) {
+            this->addVoter(*id, this->known.at(*id), result);
         }
+        result.unknown += this->seeds.contains(partner) ? 1 : 0;
     }
-    result.sampled = !mesh;
-    const auto counts = [&](const std::string &seed) {
-        return mesh || sample.contains(seed);
-    };
-    result.unknown = static_cast<std::size_t>(std::count_if(this->seeds.begin(), this->seeds.end(), counts));
     return result;
 }
 
+void Membership::addVoter(const InstanceId &id, const Member &member, Electorate &electorate) const
+{
+    if (member.leaving) {
+        return;
+    }
+    electorate.peers.push_back(id);
+    if (member.zone != this->zone) {
+        electorate.otherZones.insert(id);
+    }
+}
+
 } // namespace parsleyvane
