Split the stand-ins' parts into modules; start queued runs under the record

parts.h had five jobs and engine.cpp held streams, wire types and queue at once. Answers, table, records, faults, targets, lagging values and the prefix cache are now a file each, and RunStream holds a stream's faults.

Found while reading: a queued attempt that was cancelled, or whose version an order took off, could still be started by another run's end before its own coroutine looked; the cancel had then already answered ran=false. The queue now passes such attempts over and records a run in the step that starts it. The list of versions loaded before grew with each order and is now a set.

--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -1,4 +1,11 @@
+#include "answer.h"
+#include "generation.h"
 #include "httpserver.h"
+#include "lagging.h"
+#include "prefixcache.h"
+#include "recorder.h"
+#include "runstream.h"
+#include "target.h"
 
 #include <absl/flags/flag.h>
 #include <absl/strings/str_split.h>
@@ -7,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <set>
 #include <unistd.h>
 
 ABSL_FLAG(std::int64_t, slots, 8, "requests that run at once");
@@ -33,28 +41,16 @@
 /// @brief Every so many cache events, one is never reported.
 constexpr std::uint64_t cacheEventGap = 8;
 
-struct LoadedVersion
-{
-    std::string model;
-    std::string version;
-
-    friend bool operator==(const LoadedVersion &, const LoadedVersion &) = default;
-};
-
 struct EngineFaults
 {
     std::int64_t slots = 0;
     std::int64_t tokenDelayUs = 0;
     double errorRate = 0;
     double badQuality = 0;
-    std::int64_t silentAfter = -1; ///< events; negative for never
-    std::int64_t cutAfter = -1; ///< events; negative for never
-    bool cutLooksFinished = false;
-    bool duplicate = false;
-    bool reorder = false;
     bool leaving = false;
     bool refuse = false;
     bool ignoreFence = false;
+    StreamFaults stream; ///< for the attempts that come from now on
 };
 
 struct EngineOptions
@@ -67,32 +63,15 @@
     std::string recordPath;
 };
 
-/// @brief The body of a generate call.
-struct Generation
-{
-    std::string attempt;
-    std::string request;
-    std::string account;
-    LoadedVersion version;
-    std::string prompt;
-    std::int64_t maxTokens = 0;
-    std::int64_t priority = 0;
-    std::size_t offset = 0;
-    std::string prefix;
-};
-
 /// @brief An attempt that waits or runs.
 struct Run
 {
     Generation wanted;
-    EngineFaults faults; ///< as they were when the attempt came
+    RunStream stream;
     asio::steady_timer wake;
     bool started = false;
     bool cancelled = false;
-    bool streaming = false; ///< whether the head of the answer was sent
-    std::int64_t events = 0;
     std::int64_t outputTokens = 0;
-    std::optional<std::string> held = {}; ///< an event that its neighbour overtakes
 };
 
 /// @brief Place in the queue: higher priority first, then arrival.
@@ -146,28 +125,6 @@
     CacheChange change;
 };
 
-Generation parseGeneration(const Json &body)
-{
-    return {.attempt = body.at("attempt").get<std::string>(),
-            .request = body.at("request").get<std::string>(),
-            .account = body.at("account").get<std::string>(),
-            .version = {body.at("model").get<std::string>(), body.at("version").get<std::string>()},
-            .prompt = body.at("prompt").get<std::string>(),
-            .maxTokens = body.value("maxTokens", std::int64_t{0}),
-            .priority = body.value("priority", std::int64_t{0}),
-            .offset = body.value("offset", std::size_t{0}),
-            .prefix = body.value("prefix", std::string())};
-}
-
-Json loadedJson(const std::vector<LoadedVersion> &loaded)
-{
-    Json list = Json::array();
-    for (const LoadedVersion &entry : loaded) {
-        list.push_back({{"model", entry.model}, {"version", entry.version}});
-    }
-    return list;
-}
-
 Reply refusal(const std::string &reason)
 {
     constexpr int retryAfterMs = 50;
@@ -196,8 +153,8 @@
         , faults(faults)
         , recorder(this->options.recordPath)
         , loaded(this->options.loaded)
-        , everLoaded(this->options.loaded)
-        , load(LoadReport{0, 0, faults.slots, false, this->options.loaded})
+        , everLoaded(this->options.loaded.begin(), this->options.loaded.end())
+        , load(LoadReport{0, 0, faults.slots, false, this->options.loaded}, this->options.loadLagMs)
         , cache(this->options.cachePrefixes)
     {
     }
@@ -278,11 +235,11 @@
                                    {"tokenDelayUs", &this->faults.tokenDelayUs},
                                    {"errorRate", &this->faults.errorRate},
                                    {"badQuality", &this->faults.badQuality},
-                                   {"silentAfter", &this->faults.silentAfter},
-                                   {"cutAfter", &this->faults.cutAfter},
-                                   {"cutLooksFinished", &this->faults.cutLooksFinished},
-                                   {"duplicate", &this->faults.duplicate},
-                                   {"reorder", &this->faults.reorder},
+                                   {"silentAfter", &this->faults.stream.silentAfter},
+                                   {"cutAfter", &this->faults.stream.cutAfter},
+                                   {"cutLooksFinished", &this->faults.stream.cutLooksFinished},
+                                   {"duplicate", &this->faults.stream.duplicate},
+                                   {"reorder", &this->faults.stream.reorder},
                                    {"leaving", &this->faults.leaving},
                                    {"refuse", &this->faults.refuse},
                                    {"ignoreFence", &this->faults.ignoreFence}});
@@ -315,10 +272,7 @@
         const auto fence = body.at("fence").get<std::uint64_t>();
         const bool checked = this->options.checkFence && !this->faults.ignoreFence;
         const bool obeyed = !checked || fence >= this->highestFence;
-        std::vector<LoadedVersion> wanted;
-        for (const Json &entry : body.at("loaded")) {
-            wanted.push_back({entry.at("model").get<std::string>(), entry.at("version").get<std::string>()});
-        }
+        std::vector<LoadedVersion> wanted = parseLoaded(body.at("loaded"));
         this->recorder.add({{"type", "order"},
                             {"owner", body.at("owner")},
                             {"fence", fence},
@@ -328,7 +282,7 @@
             return jsonReply(conflict, {{"fence", this->highestFence}});
         }
         this->highestFence = std::max(this->highestFence, fence);
-        this->everLoaded.insert(this->everLoaded.end(), wanted.begin(), wanted.end());
+        this->everLoaded.insert(wanted.begin(), wanted.end());
         this->loaded = std::move(wanted);
         this->noteLoad();
         return {};
@@ -345,9 +299,7 @@
         if (this->isLoaded(version)) {
             return std::nullopt;
         }
-        const bool before
-            = std::find(this->everLoaded.begin(), this->everLoaded.end(), version) != this->everLoaded.end();
-        return before ? "withdrawn" : "not-loaded";
+        return this->everLoaded.contains(version) ? "withdrawn" : "not-loaded";
     }
 
     /// @brief Why new work is not taken.
@@ -372,11 +324,11 @@
             co_return;
         }
         const asio::any_io_executor executor = co_await asio::this_coro::executor;
-        Run run{wanted, this->faults, asio::steady_timer(executor)};
+        Run run{wanted, RunStream(connection, this->faults.stream), asio::steady_timer(executor)};
         this->attempts.push_back(&run);
-        co_await this->waitForSlot(connection, run);
+        co_await this->waitForSlot(run);
         if (run.started) {
-            const RunEnd end = co_await this->answerRun(connection, run);
+            const RunEnd end = co_await this->answerRun(run);
             this->recorder.add({{"type", "ran"},
                                 {"attempt", run.wanted.attempt},
                                 {"outputTokens", run.outputTokens},
@@ -386,17 +338,17 @@
             this->noteLoad();
         }
         std::erase(this->attempts, &run);
-        co_await this->endConnection(connection, run);
+        co_await run.stream.end(run.cancelled);
     }
 
     /// @brief Waits in the queue; returns with the run started or the caller told why not.
-    asio::awaitable<void> waitForSlot(Connection &connection, Run &run)
+    asio::awaitable<void> waitForSlot(Run &run)
     {
         const QueuePlace place{run.wanted.priority, this->arrivals++};
         this->waiting.emplace(place, &run);
         this->startWaiting();
         this->noteLoad();
-        while (!run.started && !run.cancelled && !connection.peerClosed()) {
+        while (!run.started && !run.cancelled && !run.stream.peerClosed()) {
             if (this->versionRefusal(run.wanted.version)) {
                 break;
             }
@@ -409,7 +361,7 @@
         this->waiting.erase(place);
         this->noteLoad();
         Reply reply = refusal(this->versionRefusal(run.wanted.version).value_or("cancelled"));
-        co_await connection.send(std::move(reply));
+        co_await run.stream.refuse(std::move(reply));
     }
 
     static asio::awaitable<void> waitOn(asio::steady_timer &timer)
@@ -419,11 +371,16 @@
         co_await timer.async_wait(token);
     }
 
+    /// @brief Starts the first in the queue while slots are free; from the record on, they have run.
     void startWaiting()
     {
         while (this->running < this->faults.slots && !this->waiting.empty()) {
             Run *next = this->waiting.begin()->second;
             this->waiting.erase(this->waiting.begin());
+            if (next->cancelled || !this->isLoaded(next->wanted.version)) {
+                continue; // its own coroutine refuses it
+            }
+            this->recordRun(next->wanted);
             next->started = true;
             next->wake.cancel();
             ++this->running;
@@ -449,24 +406,22 @@
                             {"offset", wanted.offset}});
     }
 
-    asio::awaitable<RunEnd> answerRun(Connection &connection, Run &run)
+    asio::awaitable<RunEnd> answerRun(Run &run)
     {
         constexpr unsigned internalError = 500;
-        this->recordRun(run.wanted);
         if (run.wanted.prompt.find("[[poison]]") != std::string::npos) {
             ::_exit(1);
         }
-        if (shareOf(hashOf(run.wanted.attempt, this->options.seed)) < run.faults.errorRate) {
+        if (shareOf(hashOf(run.wanted.attempt, this->options.seed)) < this->faults.errorRate) {
             Reply reply = jsonReply(internalError, {{"error", "the run failed"}});
-            co_await connection.send(std::move(reply));
+            co_await run.stream.refuse(std::move(reply));
             co_return RunEnd::Failed;
         }
-        run.streaming = true;
-        co_await connection.beginEvents();
-        co_return co_await this->streamAnswer(connection, run);
+        co_await run.stream.begin();
+        co_return co_await this->streamAnswer(run);
     }
 
-    asio::awaitable<RunEnd> streamAnswer(Connection &connection, Run &run)
+    asio::awaitable<RunEnd> streamAnswer(Run &run)
     {
         const std::int64_t cachedTokens = this->useCache(run.wanted.prompt);
         const std::vector<std::string> tokens = answerTokens(this->sourceOf(run.wanted));
@@ -483,12 +438,12 @@
             due = std::max(due + std::chrono::microseconds(this->faults.tokenDelayUs), Clock::now());
             run.wake.expires_at(due);
             co_await waitOn(run.wake);
-            if (run.cancelled || connection.peerClosed()) {
+            if (run.cancelled || run.stream.peerClosed()) {
                 co_return RunEnd::Cancelled;
             }
             ++run.outputTokens;
             const Json event{{"attempt", run.wanted.attempt}, {"offset", begin}, {"text", text}};
-            if (!co_await this->emit(connection, run, dumpJson(event))) {
+            if (!co_await run.stream.emit(dumpJson(event))) {
                 co_return RunEnd::Cut;
             }
         }
@@ -498,64 +453,10 @@
                         {"promptTokens", countWords(run.wanted.prompt)},
                         {"cachedTokens", cachedTokens},
                         {"outputTokens", tokens.size()}};
-        const bool sent = co_await this->emit(connection, run, dumpJson(last));
+        const bool sent = co_await run.stream.emit(dumpJson(last));
         co_return sent ? RunEnd::Finished : RunEnd::Cut;
     }
 
-    /// @brief Sends an event, subject to the stream faults. @return false when the stream is cut here
-    asio::awaitable<bool> emit(Connection &connection, Run &run, std::string event)
-    {
-        if (run.faults.cutAfter >= 0 && run.events >= run.faults.cutAfter) {
-            co_return false;
-        }
-        ++run.events;
-        if (run.faults.silentAfter >= 0 && run.events > run.faults.silentAfter) {
-            co_return true;
-        }
-        if (run.faults.reorder && !run.held) {
-            run.held = std::move(event);
-            co_return true;
-        }
-        co_await sendCopies(connection, run, std::move(event));
-        co_await sendHeld(connection, run);
-        co_return true;
-    }
-
-    static asio::awaitable<void> sendCopies(Connection &connection, const Run &run, std::string event)
-    {
-        if (run.faults.duplicate) {
-            co_await connection.sendEvent(event);
-        }
-        co_await connection.sendEvent(std::move(event));
-    }
-
-    static asio::awaitable<void> sendHeld(Connection &connection, Run &run)
-    {
-        if (run.held) {
-            std::string event = std::move(*run.held);
-            run.held.reset();
-            co_await sendCopies(connection, run, std::move(event));
-        }
-    }
-
-    /// @brief Ends the stream as its faults say. The slot is free by then.
-    asio::awaitable<void> endConnection(Connection &connection, Run &run)
-    {
-        if (!run.streaming || !connection.isOpen()) {
-            co_return;
-        }
-        co_await sendHeld(connection, run);
-        const bool silent = run.faults.silentAfter >= 0 && run.events > run.faults.silentAfter;
-        const bool cut = run.faults.cutAfter >= 0 && run.events >= run.faults.cutAfter;
-        if (silent) {
-            co_await connection.holdSilent();
-        } else if (run.cancelled || (cut && !run.faults.cutLooksFinished)) {
-            connection.close();
-        } else {
-            co_await connection.endEvents();
-        }
-    }
-
     std::int64_t useCache(const std::string &prompt)
     {
         const CacheUse use = this->cache.use(prompt);
@@ -589,7 +490,7 @@
     EngineFaults faults;
     Recorder recorder;
     std::vector<LoadedVersion> loaded;
-    std::vector<LoadedVersion> everLoaded;
+    std::set<LoadedVersion> everLoaded;
     std::uint64_t highestFence = 0;
     Lagging<LoadReport> load;
     std::vector<Run *> attempts;
--- a/standins/httpserver.cpp
+++ b/standins/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "httpserver.h"
 
+#include "recorder.h"
+
 #include "parsleyvane/net/endpoint.h"
 
 #include <absl/flags/flag.h>
--- a/standins/httpserver.h
+++ b/standins/httpserver.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "parts.h"
+#include "faults.h"
 
 #include <absl/flags/declare.h>
 #include <boost/asio/awaitable.hpp>
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -1,6 +1,11 @@
 #include "httpserver.h"
+#include "lagging.h"
+#include "recorder.h"
+#include "table.h"
+#include "target.h"
 
 #include <absl/flags/flag.h>
+#include <algorithm>
 
 ABSL_FLAG(double, weight_rate, 2, "reads of weights answered in a second");
 ABSL_FLAG(std::int64_t, list_lag_ms, 0, "how late the instance list shows a change");
@@ -12,6 +17,7 @@
 
 namespace {
 
+constexpr std::int64_t longestListLagMs = 60'000;
 constexpr std::int64_t weightBytes = 4'000'000'000;
 
 struct PlatformFaults
@@ -40,6 +46,42 @@
     return !answer.starts_with("BAD ") && !tooHard;
 }
 
+/// @brief Lets so many events pass in a second, with bursts of a second's worth.
+class RateLimit
+{
+public:
+    // constructors
+    explicit RateLimit(double perSecond);
+
+    // modifiers
+    /// @param now in milliseconds
+    bool allow(std::int64_t now);
+
+private:
+    double perSecond;
+    double available;
+    std::int64_t filledAt = 0;
+};
+
+RateLimit::RateLimit(double perSecond)
+    : perSecond(perSecond)
+    , available(std::max(1.0, perSecond))
+{
+}
+
+bool RateLimit::allow(std::int64_t now)
+{
+    constexpr double millisecondsPerSecond = 1000.0;
+    const double gained = static_cast<double>(now - this->filledAt) / millisecondsPerSecond * this->perSecond;
+    this->available = std::min(std::max(1.0, this->perSecond), this->available + gained);
+    this->filledAt = now;
+    if (this->available < 1.0) {
+        return false;
+    }
+    this->available -= 1.0;
+    return true;
+}
+
 } // namespace
 
 /// @brief Table, objects, instance list, rating service and weight store of the platform.
@@ -49,7 +91,7 @@
     Platform(const std::string &recordPath, double weightRate, std::int64_t listLagMs)
         : recorder(recordPath)
         , weightLimit(weightRate)
-        , members(Members())
+        , members(Members(), longestListLagMs)
     {
         this->faults.listLagMs = listLagMs;
     }
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -1,4 +1,6 @@
 #include "httpserver.h"
+#include "recorder.h"
+#include "target.h"
 
 #include <absl/flags/flag.h>
 
--- /dev/null
+++ b/standins/target.h
@@ -0,0 +1,27 @@
+/**
+ * @file
+ * @brief The targets of requests.
+ */
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace parsleyvane::standins {
+
+/// @brief One path with its decoded query.
+struct Target
+{
+    std::string path;
+    std::map<std::string, std::string> query;
+};
+
+/// @brief Splits and decodes the target of a request.
+Target parseTarget(std::string_view text);
+
+/// @brief The text after `prefix`, or nothing when `text` starts otherwise.
+std::optional<std::string> afterPrefix(const std::string &text, std::string_view prefix);
+
+} // namespace parsleyvane::standins
--- a/tests/unit-standins.cpp
+++ b/tests/unit-standins.cpp
@@ -1,6 +1,11 @@
 #include "suite.h"
 
-#include "parts.h"
+#include "answer.h"
+#include "faults.h"
+#include "lagging.h"
+#include "prefixcache.h"
+#include "table.h"
+#include "target.h"
 
 namespace parsleyvane::standins {
 
@@ -87,7 +92,7 @@
 
     void laggingValueIsSeenLater()
     {
-        Lagging<int> value(1);
+        Lagging<int> value(1, 1000);
         value.set(100, 2);
         CPPUNIT_ASSERT_EQUAL(2, value.get(100, 0));
         CPPUNIT_ASSERT_EQUAL(1, value.get(149, 50));
