--- a/tests/rig/caller.cpp
+++ b/tests/rig/caller.cpp
@@ -184,6 +184,11 @@
 
 } // namespace
 
+std::string promptOf(const Ask &ask)
+{
+    return "user: " + ask.body + "\n";
+}
+
 Answer sendChat(const std::string &address, const Ask &ask)
 {
     return send(address, ask, requestOf(ask, "/v1/chat/completions", chatBody(ask).dump()), true);
--- a/tests/rig/caller.h
+++ b/tests/rig/caller.h
@@ -75,6 +75,8 @@
     }
 };
 
+/// @brief The prompt that the router makes of the single user message.
+std::string promptOf(const Ask &ask);
 /// @brief Sends a chat completion to `POST /v1/chat/completions` of the instance at `address`.
 Answer sendChat(const std::string &address, const Ask &ask);
 /// @brief Sends a plain-service task to `POST /v1/tasks/NAME` of the instance at `address`.
--- a/tests/rig/fleet.cpp
+++ b/tests/rig/fleet.cpp
@@ -1,5 +1,6 @@
 #include "rig/fleet.h"
 
+#include "parsleyvane/config/questionnaire.h"
 #include "parsleyvane/net/blockingclient.h"
 
 #include <algorithm>
@@ -77,15 +78,6 @@
 
 } // namespace
 
-std::optional<ModelVersion> readModelVersion(const std::string &text)
-{
-    const auto at = text.find('@');
-    if (at == std::string::npos) {
-        return std::nullopt;
-    }
-    return ModelVersion{ModelName(text.substr(0, at)), VersionName(text.substr(at + 1))};
-}
-
 CallerGot observe(const Ask &ask, const Answer &answer, const Member &instance)
 {
     CallerGot got;
@@ -93,7 +85,7 @@
     got.request = RequestId(answer.request);
     got.key = IdempotencyKey(ask.idempotencyKey);
     got.instance = InstanceId(instance.id);
-    got.version = readModelVersion(answer.version);
+    got.version = readVersionText(answer.version);
     got.succeeded = answer.succeeded();
     got.cutOff = !answer.succeeded() && !answer.error;
     got.told = runStateOf(answer.runTold());
@@ -324,6 +316,12 @@
     return true;
 }
 
+std::size_t Fleet::countRows(const std::string &prefix) const
+{
+    const auto response = call(this->platforms.front().address, http::verb::get, "/table/scan?prefix=" + prefix);
+    return response ? Json::parse(response->body()).at("rows").size() : 0;
+}
+
 std::string Fleet::referenceAnswer(const ModelVersion &version, const std::string &prompt, unsigned maxTokens) const
 {
     const Json body{{"attempt", "rig-" + std::to_string(bootMilliseconds())},
--- a/tests/rig/fleet.h
+++ b/tests/rig/fleet.h
@@ -119,6 +119,8 @@
     nlohmann::json status(const Member &instance) const;
     /// @brief Whether every running instance shows this revision or a later one.
     bool allShow(Revision revision);
+    /// @brief The number of rows of the platform's table under this prefix; 0 when it does not answer.
+    std::size_t countRows(const std::string &prefix) const;
     /// @brief What an engine answers when it is asked directly. @throws std::runtime_error when it does not
     std::string referenceAnswer(const ModelVersion &version, const std::string &prompt, unsigned maxTokens) const;
     /// @brief All that the stand-ins have recorded so far.
@@ -142,9 +144,6 @@
 /// @brief What the checkers need to know of one exchange.
 CallerGot observe(const Ask &ask, const Answer &answer, const Member &instance);
 
-/// @brief Reads "MODEL@VERSION".
-std::optional<ModelVersion> readModelVersion(const std::string &text);
-
 /// @brief The directory of the running program, where the build puts all programs.
 std::filesystem::path programDirectory();
 
--- /dev/null
+++ b/tests/rig/scenario.h
@@ -0,0 +1,68 @@
+/**
+ * @file
+ * @brief A small fleet with one client account, and all that its callers were told: the frame of a failure test.
+ */
+#pragma once
+
+#include "rig/fleet.h"
+
+#include <mutex>
+#include <thread>
+
+namespace parsleyvane::rig {
+
+/// @brief What a failure test starts.
+struct ScenarioPlan
+{
+    /// @brief Names the run directory.
+    std::string name;
+    unsigned instances = 3;
+    unsigned engines = 2;
+    bool relayed = false;
+    /// @brief Further lines of the instances' settings.
+    std::string settings = {};
+};
+
+/**
+ * @brief A ready fleet: engines that load wattle@3 and banksia@2, the service `ledger`, and the account `lumara`.
+ *
+ * Its tasks: `ask` (a model, repeatable), `triage` (a cascade), `long` (a resumable model), `unlock-credit` (the
+ * service, not repeatable) and `reading` (the service, repeatable).
+ */
+class Scenario
+{
+public:
+    // constructors
+    explicit Scenario(const ScenarioPlan &plan);
+
+    // modifiers
+    /// @brief Sends an unlock credit to an instance, and keeps what it was told. Callable from any thread.
+    Answer credit(std::size_t instance, const std::string &key, const std::string &body = R"({"days":7})");
+    /// @brief Sends a chat completion, and keeps what it was told. Callable from any thread.
+    Answer chat(std::size_t instance, const Ask &ask);
+    /// @brief A request of the account; the caller sets what else it needs.
+    Ask ask(const std::string &task, const std::string &body) const;
+    /// @brief Repeats a credit at all instances in turn until one of them succeeds. @return whether one did
+    bool creditSucceeds(const std::string &key, Milliseconds bound = waitBound);
+
+    // observers
+    /// @brief How often the service applied the key.
+    std::size_t timesApplied(const std::string &key) const;
+    /// @brief Whether the platform holds a row under this prefix.
+    bool hasRow(const std::string &prefix) const;
+    /// @brief All invariants that these callers and records can break; each on a line of its own, empty when none.
+    std::string violations() const;
+    /// @brief What the callers were told so far.
+    std::vector<CallerGot> callers() const;
+
+    Fleet fleet;
+    Configuration configuration;
+
+private:
+    void keep(CallerGot got);
+
+    mutable std::mutex mutex;
+    std::vector<CallerGot> got;
+};
+
+} // namespace parsleyvane::rig
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -201,8 +201,7 @@
         CallerGot got = rig::observe(outcome.ask, outcome.answer, instance);
         got.conversation = scene.conversation;
         if (!scene.service && got.version) {
-            got.expected
-                = this->fleet.referenceAnswer(*got.version, "user: " + scene.body + "\n", this->maxTokens(scene));
+            got.expected = this->fleet.referenceAnswer(*got.version, promptOf(outcome.ask), this->maxTokens(scene));
         }
         this->observed.push_back(std::move(got));
     }
