--- /dev/null
+++ b/tests/multi-notrun.cpp
@@ -0,0 +1,209 @@
+#include "suite.h"
+
+#include "rig/scenario.h"
+
+namespace parsleyvane::rig {
+
+namespace {
+
+constexpr Milliseconds lateAttempts{3000};
+
+void assertNotRun(const Answer &answer)
+{
+    CPPUNIT_ASSERT(answer.error.has_value());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.error->name + " at " + answer.error->step + ": " + answer.error->message,
+                                 std::string("not_run"), answer.error->run);
+    CPPUNIT_ASSERT(!answer.error->step.empty());
+}
+
+void assertMayHaveRun(const Answer &answer)
+{
+    CPPUNIT_ASSERT(answer.error.has_value());
+    CPPUNIT_ASSERT_MESSAGE(answer.error->name + " at " + answer.error->step + ": " + answer.error->message,
+                           answer.error->run != "not_run");
+}
+
+void assertHolds(Scenario &scenario)
+{
+    CPPUNIT_ASSERT_EQUAL(std::string(), scenario.settledViolations());
+}
+
+/// @brief The run of an engine that has begun, by any attempt.
+bool anyRun(const Scenario &scenario)
+{
+    return !scenario.fleet.records().runs.empty();
+}
+
+} // namespace
+
+class NotRunTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NotRunTest);
+    CPPUNIT_TEST(enginesGone);
+    CPPUNIT_TEST(enginesRefuse);
+    CPPUNIT_TEST(enginesSilent);
+    CPPUNIT_TEST(engineKilledWhileItAnswers);
+    CPPUNIT_TEST(everyEngineKilledWhileItAnswers);
+    CPPUNIT_TEST(serviceResetsBeforeAndAfter);
+    CPPUNIT_TEST(deadlineAtEveryStep);
+    CPPUNIT_TEST(instanceKilledWhileItWorks);
+    CPPUNIT_TEST(platformGone);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void enginesGone()
+    {
+        Scenario scenario({.name = "notrun-gone"});
+        scenario.fleet.engine(0).process->kill();
+        scenario.fleet.engine(1).process->kill();
+        Ask ask = scenario.ask("ask", "Is anyone there?");
+        ask.deadline = Milliseconds(1500);
+        assertNotRun(scenario.chat(0, ask));
+        scenario.fleet.restart(scenario.fleet.engine(0));
+        scenario.fleet.restart(scenario.fleet.engine(1));
+        CPPUNIT_ASSERT(waitUntil([&] { return scenario.chat(1, scenario.ask("ask", "Again?")).succeeded(); }));
+        assertHolds(scenario);
+    }
+
+    void enginesRefuse()
+    {
+        Scenario scenario({.name = "notrun-refuse"});
+        scenario.fleet.fault(scenario.fleet.engine(0), {{"refuse", true}});
+        scenario.fleet.fault(scenario.fleet.engine(1), {{"refuse", true}});
+        Ask ask = scenario.ask("ask", "Is there room?");
+        ask.deadline = Milliseconds(1500);
+        assertNotRun(scenario.chat(0, ask));
+        CPPUNIT_ASSERT(!anyRun(scenario));
+        scenario.fleet.fault(scenario.fleet.engine(0), {{"refuse", false}});
+        CPPUNIT_ASSERT(waitUntil([&] { return scenario.chat(0, ask).succeeded(); }));
+        assertHolds(scenario);
+    }
+
+    void enginesSilent()
+    {
+        Scenario scenario({.name = "notrun-silent", .settings = "[limits]\nsilence-ms = 500"});
+        for (std::size_t index : {0U, 1U}) {
+            scenario.fleet.fault(scenario.fleet.engine(index), {{"silentAfter", 0}});
+        }
+        Ask ask = scenario.ask("ask", "Are you listening?");
+        ask.deadline = Milliseconds(3000);
+        assertMayHaveRun(scenario.chat(0, ask));
+        CPPUNIT_ASSERT(anyRun(scenario));
+        for (std::size_t index : {0U, 1U}) {
+            scenario.fleet.fault(scenario.fleet.engine(index), {{"silentAfter", -1}});
+        }
+        assertHolds(scenario);
+    }
+
+    /// The answer goes on at the other engine, at the byte where it was cut.
+    void engineKilledWhileItAnswers()
+    {
+        Scenario scenario({.name = "notrun-resumed", .tokenDelayUs = 5000});
+        Ask ask = scenario.ask("long", "[[tokens=300]] Write at length.");
+        ask.stream = true;
+        Answer answer;
+        {
+            const std::jthread caller([&] { answer = scenario.chat(0, ask); });
+            CPPUNIT_ASSERT(waitUntil([&] { return anyRun(scenario); }));
+            const UpstreamId running = scenario.fleet.records().runs.front().upstream;
+            const std::size_t index = running.str() == scenario.fleet.engine(0).id ? 0 : 1;
+            scenario.fleet.engine(index).process->kill();
+        }
+        CPPUNIT_ASSERT(answer.succeeded());
+        CPPUNIT_ASSERT(scenario.fleet.records().runs.size() >= 2);
+        assertHolds(scenario);
+    }
+
+    void everyEngineKilledWhileItAnswers()
+    {
+        Scenario scenario({.name = "notrun-cut", .tokenDelayUs = 5000});
+        Ask ask = scenario.ask("long", "[[tokens=300]] Write at length.");
+        ask.stream = true;
+        ask.deadline = Milliseconds(3000);
+        Answer answer;
+        {
+            const std::jthread caller([&] { answer = scenario.chat(0, ask); });
+            CPPUNIT_ASSERT(waitUntil([&] { return anyRun(scenario); }));
+            scenario.fleet.engine(0).process->kill();
+            scenario.fleet.engine(1).process->kill();
+        }
+        CPPUNIT_ASSERT(!answer.done);
+        assertMayHaveRun(answer);
+        assertHolds(scenario);
+    }
+
+    void serviceResetsBeforeAndAfter()
+    {
+        Scenario scenario({.name = "notrun-resets"});
+        // An instance that lost a connection leaves the service alone for a while, so each fault meets another one.
+        std::size_t instance = 0;
+        for (const char *fault : {"resetBefore", "resetAfter"}) {
+            scenario.fleet.fault(scenario.fleet.service(0), {{fault, true}});
+            // The connection ended after the request had gone out: either way nobody can tell.
+            assertMayHaveRun(scenario.credit(instance++, fault));
+            scenario.fleet.fault(scenario.fleet.service(0), {{fault, false}});
+            assertMayHaveRun(scenario.credit(2, fault));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, scenario.timesApplied("resetBefore"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scenario.timesApplied("resetAfter"));
+        assertHolds(scenario);
+    }
+
+    void deadlineAtEveryStep()
+    {
+        constexpr int lastDeadlineMs = 900;
+        constexpr int stepMs = 20;
+        Scenario scenario({.name = "notrun-deadline", .tokenDelayUs = 10000});
+        scenario.fleet.fault(scenario.fleet.platform(), {{"delayMs", 150}});
+        scenario.fleet.fault(scenario.fleet.service(0), {{"delayMs", 200}});
+        std::vector<std::jthread> callers;
+        for (int deadline = 1; deadline < lastDeadlineMs; deadline += stepMs) {
+            callers.emplace_back([&scenario, deadline] {
+                Ask credit = scenario.ask("unlock-credit", "{}");
+                credit.idempotencyKey = "k" + std::to_string(deadline);
+                credit.deadline = Milliseconds(deadline);
+                scenario.operate(0, credit);
+                Ask chat = scenario.ask("ask", "[[tokens=30]] Quick, within " + std::to_string(deadline));
+                chat.deadline = Milliseconds(deadline);
+                scenario.chat(1, chat);
+            });
+        }
+        callers.clear();
+        std::this_thread::sleep_for(lateAttempts);
+        assertHolds(scenario);
+    }
+
+    void instanceKilledWhileItWorks()
+    {
+        Scenario scenario({.name = "notrun-instance", .tokenDelayUs = 5000});
+        std::vector<std::jthread> callers;
+        for (int number = 0; number < 12; ++number) {
+            callers.emplace_back([&scenario, number] {
+                Ask ask = scenario.ask("long", "[[tokens=100]] Number " + std::to_string(number));
+                ask.stream = true;
+                scenario.chat(0, ask);
+            });
+        }
+        CPPUNIT_ASSERT(waitUntil([&] { return anyRun(scenario); }));
+        scenario.fleet.instance(0).process->kill();
+        callers.clear();
+        CPPUNIT_ASSERT(scenario.chat(1, scenario.ask("ask", "Still there?")).succeeded());
+        assertHolds(scenario);
+    }
+
+    /// Model requests go on while the store is down; what needs a claim is refused.
+    void platformGone()
+    {
+        Scenario scenario({.name = "notrun-platform"});
+        scenario.fleet.fault(scenario.fleet.platform(), {{"down", true}});
+        assertNotRun(scenario.credit(0, "k"));
+        CPPUNIT_ASSERT(scenario.chat(1, scenario.ask("ask", "Does it go on?")).succeeded());
+        scenario.fleet.fault(scenario.fleet.platform(), {{"down", false}});
+        CPPUNIT_ASSERT(scenario.creditSucceeds("k"));
+        assertHolds(scenario);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NotRunTest);
+
+} // namespace parsleyvane::rig
--- a/tests/multi-runonce.cpp
+++ b/tests/multi-runonce.cpp
@@ -40,9 +40,9 @@
     CPPUNIT_ASSERT(waitUntil([&scenario] { return scenario.hasRow("runonce/"); }));
 }
 
-void assertHolds(const Scenario &scenario)
+void assertHolds(Scenario &scenario)
 {
-    CPPUNIT_ASSERT_EQUAL(std::string(), scenario.violations());
+    CPPUNIT_ASSERT_EQUAL(std::string(), scenario.settledViolations());
 }
 
 } // namespace
--- a/tests/rig/process.cpp
+++ b/tests/rig/process.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <csignal>
 #include <fcntl.h>
+#include <mutex>
 #include <netinet/in.h>
 #include <spawn.h>
 #include <stdexcept>
@@ -62,6 +63,17 @@
     ::_exit(signalExitBase + number);
 }
 
+/// @brief From now on SIGINT and SIGTERM end all children and then this process.
+void stopChildrenOnSignals()
+{
+    struct sigaction action
+    {
+    };
+    action.sa_handler = killChildrenAndEnd;
+    sigaction(SIGINT, &action, nullptr);
+    sigaction(SIGTERM, &action, nullptr);
+}
+
 bool portIsFree(unsigned port)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -137,18 +149,10 @@
     throw std::runtime_error("no free port");
 }
 
-void stopChildrenOnSignals()
-{
-    struct sigaction action
-    {
-    };
-    action.sa_handler = killChildrenAndEnd;
-    sigaction(SIGINT, &action, nullptr);
-    sigaction(SIGTERM, &action, nullptr);
-}
-
 Process::Process(const std::vector<std::string> &command, const std::filesystem::path &log)
 {
+    static std::once_flag watched;
+    std::call_once(watched, stopChildrenOnSignals);
     std::vector<char *> arguments;
     arguments.reserve(command.size() + 1);
     for (const std::string &argument : command) {
--- a/tests/rig/process.h
+++ b/tests/rig/process.h
@@ -30,11 +30,8 @@
 /// @brief A free TCP port of 127.0.0.1 as "127.0.0.1:PORT"; never the same one twice in a process.
 std::string freeAddress();
 
-/// @brief Ends all processes of this rig and then this process when SIGINT or SIGTERM arrives.
-void stopChildrenOnSignals();
-
 /**
- * @brief One child process; it is killed when the object goes.
+ * @brief One child process; it is killed when the object goes, and when SIGINT or SIGTERM ends this process.
  *
  * Signals go to its process id only, and only until it has been reaped.
  */
--- a/tests/rig/scenario.cpp
+++ b/tests/rig/scenario.cpp
@@ -18,10 +18,11 @@
 FleetPlan fleetPlan(const ScenarioPlan &plan)
 {
     FleetPlan fleet;
-    fleet.bin = programDirectory();
+    fleet.bin = plan.bin.empty() ? programDirectory() : plan.bin;
     fleet.runDirectory = fleet.bin / "run" / plan.name;
+    fleet.seed = plan.seed;
     fleet.instances = plan.instances;
-    fleet.engines.assign(plan.engines, EnginePlan{{wattle, banksia}});
+    fleet.engines.assign(plan.engines, EnginePlan{.loads = {wattle, banksia}, .tokenDelayUs = plan.tokenDelayUs});
     fleet.services = {"ledger"};
     fleet.relayed = plan.relayed;
     fleet.settings = plan.settings;
@@ -77,25 +78,34 @@
     return {.apiKey = apiKey, .account = accountName, .task = task, .body = body};
 }
 
-void Scenario::keep(CallerGot got)
+void Scenario::keep(const Ask &ask, const Answer &answer, const Member &instance)
 {
     const std::lock_guard lock(this->mutex);
-    this->got.push_back(std::move(got));
+    this->exchanges.push_back({observe(ask, answer, instance), ask});
 }
 
 std::vector<CallerGot> Scenario::callers() const
 {
     const std::lock_guard lock(this->mutex);
-    return this->got;
+    std::vector<CallerGot> all;
+    for (const Exchange &exchange : this->exchanges) {
+        all.push_back(exchange.got);
+    }
+    return all;
 }
 
 Answer Scenario::credit(std::size_t instance, const std::string &key, const std::string &body)
 {
     Ask sent = this->ask("unlock-credit", body);
     sent.idempotencyKey = key;
+    return this->operate(instance, sent);
+}
+
+Answer Scenario::operate(std::size_t instance, const Ask &ask)
+{
     const Member &member = this->fleet.instance(instance);
-    Answer answer = sendTask(member.address, sent);
-    this->keep(observe(sent, answer, member));
+    Answer answer = sendTask(member.address, ask);
+    this->keep(ask, answer, member);
     return answer;
 }
 
@@ -103,14 +113,22 @@
 {
     const Member &member = this->fleet.instance(instance);
     Answer answer = sendChat(member.address, ask);
-    CallerGot got = observe(ask, answer, member);
-    if (got.succeeded && got.version) {
-        const Task *task = findTask(this->configuration.accounts.front(), TaskName(ask.task));
+    this->keep(ask, answer, member);
+    return answer;
+}
+
+void Scenario::fillExpected()
+{
+    const std::lock_guard lock(this->mutex);
+    for (Exchange &exchange : this->exchanges) {
+        CallerGot &got = exchange.got;
+        if (!got.succeeded || !got.version || got.expected) {
+            continue;
+        }
+        const Task *task = findTask(this->configuration.accounts.front(), TaskName(exchange.ask.task));
         const unsigned maxTokens = std::get<ModelTask>(task->work).maxTokens;
-        got.expected = this->fleet.referenceAnswer(*got.version, promptOf(ask), maxTokens);
+        got.expected = this->fleet.referenceAnswer(*got.version, promptOf(exchange.ask), maxTokens);
     }
-    this->keep(std::move(got));
-    return answer;
 }
 
 bool Scenario::creditSucceeds(const std::string &key, Milliseconds bound)
@@ -138,8 +156,15 @@
     return this->fleet.countRows(prefix) > 0;
 }
 
-std::string Scenario::violations() const
+std::string Scenario::settledViolations(Milliseconds bound)
+{
+    waitUntil([this] { return checkBills(this->fleet.records(), this->callers()).empty(); }, bound);
+    return this->violations();
+}
+
+std::string Scenario::violations()
 {
+    this->fillExpected();
     const Records records = this->fleet.records();
     const std::vector<CallerGot> callers = this->callers();
     std::string text;
--- a/tests/rig/scenario.h
+++ b/tests/rig/scenario.h
@@ -16,11 +16,15 @@
 {
     /// @brief Names the run directory.
     std::string name;
+    /// @brief Where the programs are; empty for the directory of the running program.
+    std::filesystem::path bin = {};
     unsigned instances = 3;
     unsigned engines = 2;
     bool relayed = false;
     /// @brief Further lines of the instances' settings.
     std::string settings = {};
+    unsigned tokenDelayUs = 200;
+    std::uint64_t seed = 1;
 };
 
 /**
@@ -38,6 +42,8 @@
     // modifiers
     /// @brief Sends an unlock credit to an instance, and keeps what it was told. Callable from any thread.
     Answer credit(std::size_t instance, const std::string &key, const std::string &body = R"({"days":7})");
+    /// @brief Sends a plain-service task, and keeps what it was told. Callable from any thread.
+    Answer operate(std::size_t instance, const Ask &ask);
     /// @brief Sends a chat completion, and keeps what it was told. Callable from any thread.
     Answer chat(std::size_t instance, const Ask &ask);
     /// @brief A request of the account; the caller sets what else it needs.
@@ -50,8 +56,13 @@
     std::size_t timesApplied(const std::string &key) const;
     /// @brief Whether the platform holds a row under this prefix.
     bool hasRow(const std::string &prefix) const;
-    /// @brief All invariants that these callers and records can break; each on a line of its own, empty when none.
-    std::string violations() const;
+    /**
+     * @brief All invariants that these callers and records can break; each on a line of its own, empty when none.
+     * @pre the engines run and have no faults: they are asked for the answers that the callers should hold
+     */
+    std::string violations();
+    /// @brief Waits until every answered request is billed, then as violations().
+    std::string settledViolations(Milliseconds bound = waitBound);
     /// @brief What the callers were told so far.
     std::vector<CallerGot> callers() const;
 
@@ -59,10 +70,18 @@
     Configuration configuration;
 
 private:
-    void keep(CallerGot got);
+    /// @brief An exchange, with what is needed to ask an engine for the same answer.
+    struct Exchange
+    {
+        CallerGot got;
+        Ask ask;
+    };
+
+    void keep(const Ask &ask, const Answer &answer, const Member &instance);
+    void fillExpected();
 
     mutable std::mutex mutex;
-    std::vector<CallerGot> got;
+    std::vector<Exchange> exchanges;
 };
 
 } // namespace parsleyvane::rig
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -306,7 +306,6 @@
 {
     absl::SetProgramUsageMessage("Starts a fleet on loopback, serves both organisations and checks the records.");
     absl::ParseCommandLine(argc, argv);
-    parsleyvane::rig::stopChildrenOnSignals();
     try {
         parsleyvane::rig::Demo demo;
         return demo.run() ? 0 : 1;
