--- a/include/parsleyvane/ledger/runonce.h
+++ b/include/parsleyvane/ledger/runonce.h
@@ -130,6 +130,8 @@
  * // carry out `next`, then feed onWrite(), onRead() or onService() with what happened, until an answer action comes
  * @endcode
  *
+ * Stale reads cost at most a refusal: only the attempt itself changes its Held row, so an old sighting of it is true.
+ * An attempt that is given up before SendOnce has to be carried on to it and then abandoned, or its claim may stay.
  * After an answer action, wantsWrite() may still hold a clean-up (recording a result, releasing a claim) to be tried
  * in the background until it is done.
  */
--- a/tests/unit-ledger.cpp
+++ b/tests/unit-ledger.cpp
@@ -46,6 +46,9 @@
     CPPUNIT_TEST(anotherBodyIsRefusedInEveryState);
     CPPUNIT_TEST(lostClaimsEndInARefusalWithATombstone);
     CPPUNIT_TEST(lostReadEndsInARefusalWithATombstone);
+    CPPUNIT_TEST(staleReadIsNoNews);
+    CPPUNIT_TEST(tombstoneStandsOverTheReleasedRowThatTheLostClaimWasFor);
+    CPPUNIT_TEST(rowThatMovedOnNeedsNoTombstone);
     CPPUNIT_TEST(unsentClaimNeedsNoCleanUp);
     CPPUNIT_TEST(tombstoneOverwritesTheOwnLateClaim);
     CPPUNIT_TEST(resultIsDeliveredThoughItsRecordIsLost);
@@ -149,6 +152,37 @@
         CPPUNIT_ASSERT(attempt.wantsWrite() == rowOf("a1", ClaimState::Released, 0));
     }
 
+    void staleReadIsNoNews()
+    {
+        RunOnce attempt = newAttempt("a2");
+        attempt.start();
+        attempt.onWrite(WriteConflict{rowOf("a1", ClaimState::Released, 4)});
+        attempt.onWrite(WriteLost{});
+        const auto again = std::get<WriteClaim>(attempt.onRead(ReadRow{rowOf("a1", ClaimState::Held, 3)}));
+        CPPUNIT_ASSERT(again.row == rowOf("a2", ClaimState::Held, 4));
+        CPPUNIT_ASSERT(isSend(attempt.onWrite(WriteConflict{rowOf("a2", ClaimState::Held, 5)})));
+    }
+
+    void tombstoneStandsOverTheReleasedRowThatTheLostClaimWasFor()
+    {
+        RunOnce attempt = newAttempt("a2");
+        attempt.start();
+        attempt.onWrite(WriteConflict{rowOf("a1", ClaimState::Released, 4)});
+        attempt.onWrite(WriteLost{});
+        attempt.onRead(ReadLost{});
+        CPPUNIT_ASSERT(attempt.wantsWrite() == rowOf("a2", ClaimState::Released, 4));
+    }
+
+    void rowThatMovedOnNeedsNoTombstone()
+    {
+        RunOnce attempt = newAttempt("a2");
+        attempt.start();
+        attempt.onWrite(WriteLost{});
+        const auto answer = refusalIn(attempt.onRead(ReadRow{rowOf("a1", ClaimState::Held, 1)}));
+        CPPUNIT_ASSERT(answer.failure.id == ErrorId::ClaimHeld);
+        CPPUNIT_ASSERT(!attempt.wantsWrite());
+    }
+
     void unsentClaimNeedsNoCleanUp()
     {
         RunOnce attempt = newAttempt("a1");
