--- a/cmake/bench.cmake
+++ b/cmake/bench.cmake
@@ -3,3 +3,6 @@
 target_include_directories(bench-control PRIVATE tests)
 add_test(NAME bench-control COMMAND bench-control)
 set_tests_properties(bench-control PROPERTIES LABELS slow)
+# Each experiment: prints `name value unit bound verdict` lines and fails past a bound.
+add_executable(bench-quarantine bench/quarantine.cpp)
+target_link_libraries(bench-quarantine PRIVATE parsleyvane-core)
