--- a/tests/rig/caller.h
+++ b/tests/rig/caller.h
@@ -25,6 +25,8 @@
     std::string idempotencyKey;
     /// @brief "new", a token, or empty for no session.
     std::string session;
+    /// @brief Names the conversation for the checkers; not sent.
+    std::string conversation;
     bool claimsPriority = false;
     std::optional<Milliseconds> deadline;
     /// @brief How long the caller waits for progress before it gives up by itself.
--- a/tests/rig/fleet.cpp
+++ b/tests/rig/fleet.cpp
@@ -84,6 +84,7 @@
     got.account = AccountId(ask.account);
     got.request = RequestId(answer.request);
     got.key = IdempotencyKey(ask.idempotencyKey);
+    got.conversation = ask.conversation;
     got.instance = InstanceId(instance.id);
     got.version = readVersionText(answer.version);
     got.succeeded = answer.succeeded();
--- a/tests/rig/scenario.cpp
+++ b/tests/rig/scenario.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-constexpr const char *apiKey = "rig-key";
-constexpr const char *accountName = "lumara";
+constexpr std::string_view keyPrefix = "rig-";
+constexpr unsigned fullWeight = 100;
+constexpr Milliseconds watchPause{50};
 const ModelVersion wattle{ModelName("wattle"), VersionName("3")};
+const ModelVersion nextWattle{ModelName("wattle"), VersionName("4")};
 const ModelVersion banksia{ModelName("banksia"), VersionName("2")};
 
 FleetPlan fleetPlan(const ScenarioPlan &plan)
@@ -22,7 +24,8 @@
     fleet.runDirectory = fleet.bin / "run" / plan.name;
     fleet.seed = plan.seed;
     fleet.instances = plan.instances;
-    fleet.engines.assign(plan.engines, EnginePlan{.loads = {wattle, banksia}, .tokenDelayUs = plan.tokenDelayUs});
+    fleet.engines.assign(plan.engines,
+                         EnginePlan{.loads = {wattle, nextWattle, banksia}, .tokenDelayUs = plan.tokenDelayUs});
     fleet.services = {"ledger"};
     fleet.relayed = plan.relayed;
     fleet.settings = plan.settings;
@@ -35,16 +38,21 @@
     return {TaskName(name), std::move(work), repeatable, maxWait};
 }
 
-Account account()
+std::string apiKeyOf(const std::string &account)
 {
-    const ModelTask one{.chain = {wattle.model}};
-    const ModelTask cascade{.chain = {wattle.model, banksia.model}};
-    const ModelTask resumable{.chain = {wattle.model}, .resumable = true, .maxTokens = 2000};
+    return std::string(keyPrefix) + account;
+}
+
+Account account(const std::string &name, std::vector<ModelVersion> allowed, const std::vector<ModelName> &chain)
+{
+    const ModelTask one{.chain = {chain.front()}};
+    const ModelTask cascade{.chain = chain};
+    const ModelTask resumable{.chain = {chain.front()}, .resumable = true, .maxTokens = 2000};
     Account account;
-    account.id = AccountId(accountName);
-    account.organisation = accountName;
-    account.keyHashes = {sha256Hex(apiKey)};
-    account.allowed = {wattle, banksia};
+    account.id = AccountId(name);
+    account.organisation = name;
+    account.keyHashes = {sha256Hex(apiKeyOf(name))};
+    account.allowed = std::move(allowed);
     account.limits = {1000, 1000, 1000};
     account.tasks = {task("ask", one, true), task("triage", cascade, true), task("long", resumable, true),
                      task("unlock-credit", ServiceTask{ServiceName("ledger"), "unlock-credit"}, false),
@@ -52,9 +60,8 @@
     return account;
 }
 
-VersionEntry serving(const ModelVersion &version)
+VersionEntry serving(const ModelVersion &version, unsigned weight)
 {
-    constexpr unsigned weight = 100;
     return {version, VersionState::Serving, weight, MicroCost(200000)};
 }
 
@@ -65,17 +72,26 @@
 {
     this->fleet.startStandIns();
     this->configuration = this->fleet.baseConfiguration();
-    this->configuration.accounts = {account()};
-    this->configuration.versions = {serving(wattle), serving(banksia)};
-    const auto file = this->fleet.plan().runDirectory / "configuration.json";
-    std::ofstream(file) << serialise(this->configuration);
-    this->fleet.submit(file, Revision(0), "rig");
+    this->configuration.accounts = {account("lumara", {wattle, nextWattle, banksia}, {wattle.model, banksia.model}),
+                                    account("txoko", {banksia}, {banksia.model})};
+    this->configuration.versions = {serving(wattle, fullWeight), serving(nextWattle, 0), serving(banksia, fullWeight)};
+    this->accept(this->configuration);
     this->fleet.startInstances();
 }
 
-Ask Scenario::ask(const std::string &task, const std::string &body) const
+Acceptance Scenario::accept(const Configuration &next)
 {
-    return {.apiKey = apiKey, .account = accountName, .task = task, .body = body};
+    const auto file = this->fleet.plan().runDirectory / "configuration.json";
+    std::ofstream(file) << serialise(next);
+    this->fleet.submit(file, this->revision, "rig");
+    this->configuration = next;
+    this->revision = Revision(this->revision.value() + 1);
+    return {this->revision, bootMilliseconds()};
+}
+
+Ask Scenario::ask(const std::string &task, const std::string &body, const std::string &account) const
+{
+    return {.apiKey = apiKeyOf(account), .account = account, .task = task, .body = body};
 }
 
 void Scenario::keep(const Ask &ask, const Answer &answer, const Member &instance)
@@ -167,13 +183,40 @@
     this->fillExpected();
     const Records records = this->fleet.records();
     const std::vector<CallerGot> callers = this->callers();
-    std::string text;
-    for (const Violations &some : {checkAllowedVersions(records, this->configuration), checkSessions(records, callers),
-                                   checkBills(records, callers), checkAnswers(callers), checkNotRun(records, callers),
-                                   checkAtMostOnce(records)}) {
-        for (const Violation &violation : some) {
-            text += std::to_string(violation.invariant) + ": " + violation.what + "\n";
+    return textOf(checkAllowedVersions(records, this->configuration)) + textOf(checkSessions(records, callers))
+        + textOf(checkBills(records, callers)) + textOf(checkAnswers(callers)) + textOf(checkNotRun(records, callers))
+        + textOf(checkAtMostOnce(records));
+}
+
+RevisionWatch::RevisionWatch(Scenario &scenario)
+    : thread([this, &scenario](const std::stop_token &token) {
+        while (!token.stop_requested()) {
+            for (std::size_t index = 0; index < scenario.fleet.instanceCount(); ++index) {
+                const Member &instance = scenario.fleet.instance(index);
+                const nlohmann::json shown = scenario.fleet.status(instance);
+                const std::uint64_t number = shown.is_object() ? shown.value("revision", std::uint64_t{0}) : 0;
+                if (number > 0) {
+                    this->seen.push_back({InstanceId(instance.id), Revision(number), bootMilliseconds()});
+                }
+            }
+            std::this_thread::sleep_for(watchPause);
         }
+    })
+{
+}
+
+std::vector<RevisionSeen> RevisionWatch::stop()
+{
+    this->thread.request_stop();
+    this->thread.join();
+    return std::move(this->seen);
+}
+
+std::string textOf(const Violations &violations)
+{
+    std::string text;
+    for (const Violation &violation : violations) {
+        text += std::to_string(violation.invariant) + ": " + violation.what + "\n";
     }
     return text;
 }
--- a/tests/rig/scenario.h
+++ b/tests/rig/scenario.h
@@ -28,10 +28,12 @@
 };
 
 /**
- * @brief A ready fleet: engines that load wattle@3 and banksia@2, the service `ledger`, and the account `lumara`.
+ * @brief A ready fleet: engines that load wattle@3, wattle@4 and banksia@2, the service `ledger`, and two accounts.
  *
- * Its tasks: `ask` (a model, repeatable), `triage` (a cascade), `long` (a resumable model), `unlock-credit` (the
- * service, not repeatable) and `reading` (the service, repeatable).
+ * wattle@4 serves, with no share of new work. The account `lumara` may use everything, with the
+ * chain wattle, banksia; `txoko` only banksia@2. Both
+ * have the tasks `ask` (the first model of its chain, repeatable), `triage` (a cascade), `long` (a resumable model),
+ * `unlock-credit` (the service, not repeatable) and `reading` (the service, repeatable).
  */
 class Scenario
 {
@@ -47,7 +49,9 @@
     /// @brief Sends a chat completion, and keeps what it was told. Callable from any thread.
     Answer chat(std::size_t instance, const Ask &ask);
     /// @brief A request of the account; the caller sets what else it needs.
-    Ask ask(const std::string &task, const std::string &body) const;
+    Ask ask(const std::string &task, const std::string &body, const std::string &account = "lumara") const;
+    /// @brief Submits the next revision of the configuration. @throws std::runtime_error when it is not accepted
+    Acceptance accept(const Configuration &next);
     /// @brief Repeats a credit at all instances in turn until one of them succeeds. @return whether one did
     bool creditSucceeds(const std::string &key, Milliseconds bound = waitBound);
 
@@ -81,7 +85,27 @@
     void fillExpected();
 
     mutable std::mutex mutex;
+    Revision revision;
     std::vector<Exchange> exchanges;
 };
 
+/// @brief Notes what revision each instance's /status shows, on a thread of its own.
+class RevisionWatch
+{
+public:
+    // constructors
+    explicit RevisionWatch(Scenario &scenario);
+
+    // modifiers
+    /// @brief Stops, and hands over what was seen. An instance that has no configuration yet shows none.
+    std::vector<RevisionSeen> stop();
+
+private:
+    std::vector<RevisionSeen> seen;
+    std::jthread thread;
+};
+
+/// @brief Each violation on a line of its own; empty when there is none.
+std::string textOf(const Violations &violations);
+
 } // namespace parsleyvane::rig
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -183,6 +183,7 @@
                 .apiKey = "demo-" + scene.account, .account = scene.account, .task = scene.task, .body = scene.body};
             ask.stream = scene.stream;
             ask.claimsPriority = scene.claimsPriority;
+            ask.conversation = scene.conversation;
             ask.idempotencyKey = "demo-" + std::to_string(turn);
             if (!scene.conversation.empty()) {
                 ask.session = tokens.try_emplace(scene.conversation, "new").first->second;
@@ -199,7 +200,6 @@
     void observe(const Scene &scene, const Outcome &outcome, const Member &instance)
     {
         CallerGot got = rig::observe(outcome.ask, outcome.answer, instance);
-        got.conversation = scene.conversation;
         if (!scene.service && got.version) {
             got.expected = this->fleet.referenceAnswer(*got.version, promptOf(outcome.ask), this->maxTokens(scene));
         }
