Keep requests that crash upstreams in quarantine, over the whole fleet

Wired: ModelCall asks the quarantine before it places an attempt; a lost connection is followed by a probe, and only a refused one counts as a crash; evidence goes with the heartbeats, and at once when it changes. Also: a version is not blamed when the rating service fails. Ruled out while testing: a fault of the quarantine. Not proved yet at multi-process scale; a test follows.

--- a/include/parsleyvane/net/chatflow.h
+++ b/include/parsleyvane/net/chatflow.h
@@ -40,7 +40,7 @@
     std::optional<ModelVersion> chooseStage(const ModelName &model, LastReason &reason) const;
     boost::asio::awaitable<bool> runChain(LastReason &reason);
     boost::asio::awaitable<bool> runStage(Stage stage, LastReason &reason);
-    boost::asio::awaitable<bool> passes(const ModelAnswer &answer);
+    boost::asio::awaitable<std::optional<bool>> rate(const ModelAnswer &answer);
     boost::asio::awaitable<bool> deliver(std::string text);
     boost::asio::awaitable<bool> begin();
     boost::asio::awaitable<bool> finish(LastReason &reason);
--- a/include/parsleyvane/net/instance.h
+++ b/include/parsleyvane/net/instance.h
@@ -51,6 +51,7 @@
     boost::asio::awaitable<void> linger();
     boost::asio::awaitable<void> waitForRequests();
     boost::asio::awaitable<void> writeBills();
+    boost::asio::awaitable<void> shareEvidence();
 
     InstanceSettings settings;
     boost::asio::io_context io{1};
@@ -59,6 +60,7 @@
     PlatformClient platform;
     Metrics metrics;
     BillWriter bills;
+    EvidenceBoard evidence;
     RouterContext context;
     Router router;
     ControlPlane plane;
--- a/include/parsleyvane/net/modelcall.h
+++ b/include/parsleyvane/net/modelcall.h
@@ -84,9 +84,13 @@
     using AttemptResult = std::variant<Completed, CallerGone, Interrupted, Failed>;
 
     boost::asio::awaitable<AttemptResult> attempt(UpstreamId upstream);
+    boost::asio::awaitable<AttemptResult> send(HttpCall &call, const UpstreamId &upstream, const AttemptId &id);
+    boost::asio::awaitable<void> findOutCrash(UpstreamId upstream, const AttemptResult &result);
+    std::optional<Failure> quarantineCheck(TimePoint now, bool &alone) const;
     boost::asio::awaitable<AttemptResult> stream(HttpCall &call, const AttemptId &id);
     boost::asio::awaitable<std::optional<Failure>> readRefusal(HttpCall &call, int status);
     std::optional<UpstreamId> choose(LastReason &reason);
+    std::set<UpstreamId> closedUpstreams(bool alone) const;
     std::optional<Failure> dispatchCheck() const;
     void makeRoom(const UpstreamId &upstream);
     std::string body(const AttemptId &id) const;
@@ -97,6 +101,7 @@
     TextSink sink;
     AnswerAssembler assembler;
     std::set<UpstreamId> tried;
+    Fingerprint print;
     RunState soFar = RunState::NotRun;
     unsigned attempts = 0;
     unsigned attemptsWithoutProgress = 0;
--- a/include/parsleyvane/net/routercontext.h
+++ b/include/parsleyvane/net/routercontext.h
@@ -6,6 +6,7 @@
 
 #include "parsleyvane/core/blackboard.h"
 #include "parsleyvane/net/billwriter.h"
+#include "parsleyvane/net/evidenceboard.h"
 #include "parsleyvane/net/httpclient.h"
 #include "parsleyvane/net/metrics.h"
 #include "parsleyvane/net/platformclient.h"
@@ -39,6 +40,7 @@
     const PlatformClient &platform;
     BillWriter &bills;
     Metrics &metrics;
+    EvidenceBoard &evidence;
     Placement placement;
     RetryBudget retryBudget;
     CallLimits upstreamLimits;
--- a/src/net/chatflow.cpp
+++ b/src/net/chatflow.cpp
@@ -158,6 +158,9 @@
     ModelCall call(this->context, this->question(stage), std::move(sink));
     auto answer = co_await call.run(reason);
     if (!answer) {
+        if (reason.failure().id == ErrorId::UpstreamError) {
+            this->context.evidence.count(stage.version, AnswerOutcome::Error);
+        }
         this->soFar = combine(this->soFar, reason.failure().runState);
         co_return false;
     }
@@ -168,7 +171,15 @@
     this->facts.usage.outputTokens += answer->usage.outputTokens;
     this->facts.cost += costOf(answer->usage, *this->admission.configuration, stage.version);
     this->context.metrics.countTokens(answer->usage.outputTokens);
-    if (!stage.last && !co_await this->passes(*answer)) {
+    std::optional<bool> rating;
+    if (!stage.last) {
+        rating = co_await this->rate(*answer);
+    }
+    // Without a rating an answer is not known to be good, so the next model is asked; the version is not blamed.
+    const bool good = stage.last || rating.value_or(false);
+    const bool blamed = rating.has_value() && !*rating;
+    this->context.evidence.count(stage.version, blamed ? AnswerOutcome::FailedRating : AnswerOutcome::Good);
+    if (!good) {
         this->context.metrics.countEvent("escalated");
         reason.fail({.id = ErrorId::UpstreamError,
                      .step = Step::Answer,
@@ -187,15 +198,14 @@
     co_return true;
 }
 
-asio::awaitable<bool> ChatFlow::passes(const ModelAnswer &answer)
+asio::awaitable<std::optional<bool>> ChatFlow::rate(const ModelAnswer &answer)
 {
     LastReason reason;
     const auto rating = co_await this->context.platform.rate(this->admission.account->id, this->admission.task->name,
                                                              this->chat.prompt, answer.text, reason);
     if (!rating) {
-        // Without a rating the answer is not known to be good; the next model is asked.
         this->context.metrics.countEvent("rating_failed");
-        co_return false;
+        co_return std::nullopt;
     }
     this->context.metrics.countEvent("rated");
     co_return rating->passed;
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -1,5 +1,6 @@
 #include "parsleyvane/net/instance.h"
 
+#include "parsleyvane/core/clock.h"
 #include "parsleyvane/net/endpoint.h"
 #include "parsleyvane/net/sleep.h"
 
@@ -20,6 +21,8 @@
 constexpr Milliseconds flushLimit{3000};
 /// Time for the last heartbeats to tell the peers that this instance leaves.
 constexpr Milliseconds partingPause{300};
+/// How often the evidence that heartbeats carry is made anew.
+constexpr Milliseconds evidenceInterval{500};
 constexpr std::size_t operatorConnections = 64;
 
 ServerLimits callerLimits(const LimitSettings &limits)
@@ -64,11 +67,13 @@
     : settings(settings)
     , platform(checkedEndpoint(settings.platformAddress))
     , bills(this->io, this->platform, this->metrics, settings.limits.billHold)
+    , evidence(settings.id)
     , context{.io = this->io,
               .blackboard = this->blackboard,
               .platform = this->platform,
               .bills = this->bills,
               .metrics = this->metrics,
+              .evidence = this->evidence,
               .placement = Placement(std::random_device()()),
               .retryBudget = RetryBudget(),
               .upstreamLimits = {.progress = settings.limits.silence}}
@@ -96,6 +101,11 @@
     this->plane.handlers().makeRoom = [this](const UpstreamId &upstream, const AccountId &, unsigned count) {
         return interruptResumable(this->context, upstream, count);
     };
+    this->plane.handlers().evidence = [this](const InstanceId &from, const Evidence &told) {
+        this->evidence.merge(from, told, bootTime());
+    };
+    this->evidence.onChange([this]() { this->plane.setEvidence(this->evidence.current(bootTime())); });
+    asio::co_spawn(this->io, this->shareEvidence(), asio::detached);
     this->context.askPeersForRoom = [this](const UpstreamId &upstream, const AccountId &account, unsigned count) {
         this->plane.askRoom(upstream, account, count);
     };
@@ -170,6 +180,17 @@
     this->shutdown.process_event(RequestsFinished());
 }
 
+asio::awaitable<void> Instance::shareEvidence()
+{
+    while (true) {
+        co_await sleepFor(evidenceInterval);
+        const TimePoint now = bootTime();
+        this->evidence.quarantine().expire(now);
+        Evidence current = this->evidence.current(now);
+        this->plane.setEvidence(std::move(current));
+    }
+}
+
 asio::awaitable<void> Instance::writeBills()
 {
     const bool safe = co_await this->bills.flush(flushLimit);
--- a/src/net/modelcall.cpp
+++ b/src/net/modelcall.cpp
@@ -66,6 +66,7 @@
     : context(context)
     , question(std::move(question))
     , sink(std::move(sink))
+    , print(fingerprint(this->question.account, versionText(this->question.version) + "\n" + this->question.prompt))
     , deadline(bootTime() + this->question.maxWait)
 {
 }
@@ -126,6 +127,11 @@
     }
     const RetryDecision decision = decideRetry(retry, this->context.retryBudget);
     if (const auto *giveUp = std::get_if<GiveUp>(&decision)) {
+        const auto tellNotBefore = this->context.evidence.quarantine().tellNotBefore(this->print, now);
+        if (tellNotBefore && *tellNotBefore > now) {
+            // The caller may send it again at once; the other instances must have heard of the crash by then.
+            co_await sleepFor(*tellNotBefore - now);
+        }
         reason.fail(giveUp->failure);
         co_return false;
     }
@@ -142,16 +148,51 @@
     if (auto refusal = this->dispatchCheck()) {
         return reason.fail(*refusal);
     }
-    const PlacementQuestion place{this->question.version, this->question.prompt.substr(0, prefixBytes), this->tried};
+    bool alone = false;
+    if (auto refusal = this->quarantineCheck(bootTime(), alone)) {
+        return reason.fail(*refusal);
+    }
+    const std::set<UpstreamId> closed = this->closedUpstreams(alone);
+    PlacementQuestion place{this->question.version, this->question.prompt.substr(0, prefixBytes), this->tried};
+    place.tried.insert(closed.begin(), closed.end());
     auto upstream = this->context.placement.chooseEngine(this->context.blackboard, place, bootTime(), reason);
     if (!upstream && !this->tried.empty()) {
         this->tried.clear();
-        const PlacementQuestion again{this->question.version, place.prefix, {}};
+        const PlacementQuestion again{this->question.version, place.prefix, closed};
         upstream = this->context.placement.chooseEngine(this->context.blackboard, again, bootTime(), reason);
     }
     return upstream;
 }
 
+std::optional<Failure> ModelCall::quarantineCheck(TimePoint now, bool &alone) const
+{
+    const RunVerdict verdict = this->context.evidence.quarantine().mayRun(this->print, now);
+    if (const auto *refuse = std::get_if<RefuseRun>(&verdict)) {
+        return refuse->failure;
+    }
+    const auto *single = std::get_if<RunAlone>(&verdict);
+    alone = single != nullptr;
+    if (!alone || single->notBefore <= now) {
+        return std::nullopt;
+    }
+    return Failure{.id = ErrorId::Quarantined,
+                   .step = Step::Queue,
+                   .detail = "suspected of crashing an upstream; waits to run alone",
+                   .retryAfter = single->notBefore - now};
+}
+
+std::set<UpstreamId> ModelCall::closedUpstreams(bool alone) const
+{
+    std::set<UpstreamId> closed;
+    const Quarantine &quarantine = this->context.evidence.quarantine();
+    for (const Upstream &upstream : this->context.blackboard.configuration->upstreams) {
+        if (quarantine.isReserved(upstream.id) || (alone && quarantine.isBusy(upstream.id))) {
+            closed.insert(upstream.id);
+        }
+    }
+    return closed;
+}
+
 std::optional<Failure> ModelCall::dispatchCheck() const
 {
     if (auto refusal = dispatchRefusal(this->context.blackboard, bootTime(), true)) {
@@ -201,12 +242,7 @@
     if (auto refusal = this->dispatchCheck()) {
         co_return Failed{*refusal};
     }
-    const HttpRequest request = makeRequest(http::verb::post, "/generate", this->body(id));
-    const bool sent = co_await call.send(request, reason);
-    AttemptResult result = Failed{reason.failure()};
-    if (sent) {
-        result = co_await this->stream(call, id);
-    }
+    AttemptResult result = co_await this->send(call, upstream, id);
     if (active.interrupted() && !std::holds_alternative<Completed>(result)) {
         this->soFar = combine(this->soFar, RunState::Unknown);
         co_return Interrupted{};
@@ -219,6 +255,47 @@
     co_return result;
 }
 
+asio::awaitable<ModelCall::AttemptResult> ModelCall::send(HttpCall &call, const UpstreamId &upstream,
+                                                          const AttemptId &id)
+{
+    LastReason reason;
+    const HttpRequest request = makeRequest(http::verb::post, "/generate", this->body(id));
+    Quarantine &quarantine = this->context.evidence.quarantine();
+    quarantine.onDispatch(this->print, upstream, id, bootTime());
+    const bool sent = co_await call.send(request, reason);
+    AttemptResult result = Failed{reason.failure()};
+    if (sent) {
+        result = co_await this->stream(call, id);
+    }
+    if (std::holds_alternative<Completed>(result)) {
+        quarantine.onFinished(id, bootTime());
+        co_return result;
+    }
+    co_await this->findOutCrash(upstream, result);
+    quarantine.onEnded(id);
+    co_return result;
+}
+
+asio::awaitable<void> ModelCall::findOutCrash(UpstreamId upstream, const AttemptResult &result)
+{
+    const auto *failed = std::get_if<Failed>(&result);
+    if (failed == nullptr || failed->failure.id != ErrorId::UpstreamLost) {
+        co_return;
+    }
+    LastReason reason;
+    const auto endpoint = endpointOf(this->context.blackboard, upstream, reason);
+    if (!endpoint) {
+        co_return;
+    }
+    // A process that still listens has only lost the connection; one that refuses has ended.
+    HttpCall probe(this->context.io.get_executor(), upstream.str(), *endpoint, this->context.upstreamLimits);
+    const bool alive = co_await probe.connect(reason);
+    if (!alive) {
+        this->context.metrics.countEvent("upstream_crashed");
+        this->context.evidence.upstreamCrashed(upstream, bootTime());
+    }
+}
+
 asio::awaitable<ModelCall::AttemptResult> ModelCall::stream(HttpCall &call, const AttemptId &id)
 {
     LastReason reason;
--- a/src/net/peercodec.h
+++ b/src/net/peercodec.h
@@ -15,7 +15,7 @@
 /// @brief Bounds of what one message may carry.
 struct WireLimits
 {
-    static constexpr std::size_t textBytes = 256;
+    static constexpr std::size_t textBytes = 2048;
     static constexpr std::size_t listEntries = 256;
     static constexpr std::size_t documentBytes = 4U << 20U;
     /// @brief Largest message in words of 8 bytes, and most that is read of one.
