Prove that a configuration is in force everywhere and never reverts

Invariant 10, multi-configuration: five changes over 7 instances; a reply lost after the commit; four operators at once; an instance cut off from the store (silent and closed) and from the peers that call it; an instance restarted during an outage, all restarted with stale reads; the store down for all for 12 s.

An instance cut off from both store and peers is not tested: relays stand before each peers listener and can't tell who calls.

Not seen failing yet: no mutant run.

--- /dev/null
+++ b/tests/multi-configuration.cpp
@@ -0,0 +1,169 @@
+#include "suite.h"
+
+#include "rig/scenario.h"
+
+#include <atomic>
+
+namespace parsleyvane::rig {
+
+namespace {
+
+/// @brief The same configuration again; only its revision differs.
+Acceptance acceptNext(Scenario &scenario)
+{
+    return scenario.accept(scenario.configuration);
+}
+
+void assertInForce(const std::vector<RevisionSeen> &seen, const std::vector<Acceptance> &acceptances)
+{
+    CPPUNIT_ASSERT(!seen.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string(), textOf(checkRevisions(seen, acceptances)));
+}
+
+void waitForAll(Scenario &scenario, const Acceptance &accepted)
+{
+    CPPUNIT_ASSERT(waitUntil([&] { return scenario.fleet.allShow(accepted.revision); }));
+}
+
+constexpr Milliseconds beyondBound = acceptanceBound + Milliseconds(1000);
+
+} // namespace
+
+class ConfigurationInForceTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConfigurationInForceTest);
+    CPPUNIT_TEST(eachChangeReachesAll);
+    CPPUNIT_TEST(replyLostAfterTheCommit);
+    CPPUNIT_TEST(twoOperatorsAtOnce);
+    CPPUNIT_TEST(instanceCutOffFromTheStore);
+    CPPUNIT_TEST(instanceCutOffFromItsPeers);
+    CPPUNIT_TEST(restartedDuringAnOutage);
+    CPPUNIT_TEST(restartedWithStaleReads);
+    CPPUNIT_TEST(storeDownForAll);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void eachChangeReachesAll()
+    {
+        Scenario scenario({.name = "configuration-all", .instances = 7});
+        RevisionWatch watch(scenario);
+        std::vector<Acceptance> accepted;
+        for (int change = 0; change < 5; ++change) {
+            accepted.push_back(acceptNext(scenario));
+            waitForAll(scenario, accepted.back());
+        }
+        assertInForce(watch.stop(), accepted);
+    }
+
+    void replyLostAfterTheCommit()
+    {
+        Scenario scenario({.name = "configuration-lost"});
+        RevisionWatch watch(scenario);
+        scenario.fleet.fault(scenario.fleet.platform(), {{"loseReplies", 1}});
+        const Acceptance accepted = acceptNext(scenario);
+        waitForAll(scenario, accepted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, scenario.fleet.countRows("audit/"));
+        assertInForce(watch.stop(), {accepted});
+    }
+
+    void twoOperatorsAtOnce()
+    {
+        constexpr int operators = 4;
+        Scenario scenario({.name = "configuration-race"});
+        const auto file = scenario.fleet.plan().runDirectory / "configuration.json";
+        std::atomic<int> accepted = 0;
+        std::vector<std::jthread> threads;
+        for (int number = 0; number < operators; ++number) {
+            threads.emplace_back([&, number] {
+                try {
+                    scenario.fleet.submit(file, Revision(1), "operator-" + std::to_string(number));
+                    ++accepted;
+                } catch (const std::runtime_error &) {
+                    // The losers of the race.
+                }
+            });
+        }
+        threads.clear();
+        CPPUNIT_ASSERT_EQUAL(1, accepted.load());
+        waitForAll(scenario, {Revision(2), bootMilliseconds()});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, scenario.fleet.countRows("audit/"));
+    }
+
+    void instanceCutOffFromTheStore()
+    {
+        Scenario scenario({.name = "configuration-no-store", .relayed = true});
+        RevisionWatch watch(scenario);
+        std::vector<Acceptance> accepted;
+        for (const RelayMode mode : {RelayMode::Drop, RelayMode::Cut}) {
+            scenario.fleet.instance(0).toPlatform->setMode(mode);
+            accepted.push_back(acceptNext(scenario));
+            std::this_thread::sleep_for(beyondBound);
+        }
+        assertInForce(watch.stop(), accepted);
+    }
+
+    void instanceCutOffFromItsPeers()
+    {
+        Scenario scenario({.name = "configuration-no-peers", .relayed = true});
+        RevisionWatch watch(scenario);
+        for (std::size_t index = 0; index < scenario.fleet.instanceCount(); ++index) {
+            scenario.fleet.instance(index).front->setMode(RelayMode::Drop);
+        }
+        const Acceptance accepted = acceptNext(scenario);
+        std::this_thread::sleep_for(beyondBound);
+        assertInForce(watch.stop(), {accepted});
+    }
+
+    /// It starts with nothing, and has only its peers to learn from.
+    void restartedDuringAnOutage()
+    {
+        Scenario scenario({.name = "configuration-outage"});
+        const Acceptance accepted = acceptNext(scenario);
+        waitForAll(scenario, accepted);
+        RevisionWatch watch(scenario);
+        scenario.fleet.fault(scenario.fleet.platform(), {{"down", true}});
+        Member &restarted = scenario.fleet.instance(0);
+        restarted.process->kill();
+        scenario.fleet.restart(restarted);
+        CPPUNIT_ASSERT(waitUntil([&] { return scenario.fleet.ready(restarted); }));
+        CPPUNIT_ASSERT(scenario.chat(0, scenario.ask("ask", "Are you back?")).succeeded());
+        assertInForce(watch.stop(), {accepted});
+    }
+
+    void restartedWithStaleReads()
+    {
+        Scenario scenario({.name = "configuration-stale"});
+        const Acceptance accepted = acceptNext(scenario);
+        waitForAll(scenario, accepted);
+        RevisionWatch watch(scenario);
+        scenario.fleet.fault(scenario.fleet.platform(), {{"staleReads", true}});
+        for (std::size_t index = 0; index < scenario.fleet.instanceCount(); ++index) {
+            Member &restarted = scenario.fleet.instance(index);
+            restarted.process->kill();
+            scenario.fleet.restart(restarted);
+            CPPUNIT_ASSERT(waitUntil([&] { return scenario.fleet.ready(restarted); }));
+            CPPUNIT_ASSERT(scenario.fleet.status(restarted).value("revision", 0U) >= accepted.revision.value());
+        }
+        assertInForce(watch.stop(), {accepted});
+    }
+
+    void storeDownForAll()
+    {
+        constexpr Milliseconds outage{12000};
+        Scenario scenario({.name = "configuration-down"});
+        RevisionWatch watch(scenario);
+        scenario.fleet.fault(scenario.fleet.platform(), {{"down", true}});
+        std::this_thread::sleep_for(outage);
+        for (std::size_t index = 0; index < scenario.fleet.instanceCount(); ++index) {
+            CPPUNIT_ASSERT(scenario.chat(index, scenario.ask("ask", "Do you go on?")).succeeded());
+        }
+        scenario.fleet.fault(scenario.fleet.platform(), {{"down", false}});
+        const Acceptance accepted = acceptNext(scenario);
+        std::this_thread::sleep_for(beyondBound);
+        assertInForce(watch.stop(), {accepted});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationInForceTest);
+
+} // namespace parsleyvane::rig
--- a/tests/rig/fleet.cpp
+++ b/tests/rig/fleet.cpp
@@ -212,13 +212,13 @@
     this->start(member);
 }
 
-void Fleet::enrol(const Member &member) const
+void Fleet::enrol(const Member &member, bool leaving) const
 {
     const Json body{{"id", member.id},
                     {"role", member.role},
                     {"address", member.reachedAt()},
                     {"zone", member.zone},
-                    {"leaving", false}};
+                    {"leaving", leaving}};
     const auto response = call(this->platforms.front().address, http::verb::post, "/instances", body);
     require(response && response->result() == http::status::ok, "the platform did not list " + member.id);
 }
--- a/tests/rig/fleet.h
+++ b/tests/rig/fleet.h
@@ -101,6 +101,8 @@
     void runTool(const std::string &name, std::vector<std::string> arguments);
     /// @brief Submits a configuration through parsleyvanectl.
     void submit(const std::filesystem::path &file, Revision basedOn, const std::string &operatorName);
+    /// @brief Tells the platform's instance list of a member. @throws std::runtime_error when it does not answer
+    void enrol(const Member &member, bool leaving = false) const;
     /// @brief Switches a stand-in's faults.
     void fault(const Member &member, const nlohmann::json &faults);
 
@@ -132,7 +134,6 @@
     void prepareInstances();
     void writeSettings(Member &member) const;
     void start(Member &member) const;
-    void enrol(const Member &member) const;
 
     FleetPlan planned;
     std::vector<Member> platforms;
