Measure what an instance adds on loopback

Weighed: Google Benchmark around parts against whole processes; the target is about the whole path, so processes.

--- a/tests/rig/process.h
+++ b/tests/rig/process.h
@@ -65,6 +65,11 @@
     // observers
     /// @brief Whether it has not ended.
     bool running();
+    /// @brief Its process identifier.
+    pid_t id() const noexcept
+    {
+        return this->pid;
+    }
 
 private:
     void signal(int number) const;
