Prove the spread of the configuration, bound its traffic, say what it costs

Only a failed or missed read is news now.

Removal after silence was ruled out: an instance cut off from all became a majority of one and took work. A call that came in proves no freshness, as it may have waited in a buffer while the process was frozen; all evidence counts from the moment of asking.

--- a/include/parsleyvane/net/controlplane.h
+++ b/include/parsleyvane/net/controlplane.h
@@ -105,7 +105,7 @@
     void sendBills(std::string bills, std::function<void(bool)> done);
     /// @brief Asks all live peers to interrupt resumable work. @param made called with the places of each answer
     void askRoom(const UpstreamId &upstream, const AccountId &account, unsigned count,
-                 std::function<void(unsigned)> made = {});
+                 const std::function<void(unsigned)> &made = {});
 
     // observers
     /// @brief Traffic so far.
--- a/include/parsleyvane/spread/configurationspread.h
+++ b/include/parsleyvane/spread/configurationspread.h
@@ -159,7 +159,7 @@
 
     void onTick(const SpreadTick &tick, TimePoint now, SpreadActions &actions);
     void onStoreAnswered(const StoreAnswered &answer, TimePoint now, SpreadActions &actions);
-    void onStoreFailed(const StoreFailed &failure, TimePoint now, SpreadActions &actions);
+    void onStoreFailed(const StoreFailed &failure, SpreadActions &actions);
     void onPeerReplied(const PeerReplied &reply, TimePoint now);
     void onPeerAsked(const Digest &digest, TimePoint now);
     void onFetched(const DocumentFetched &document, TimePoint now, SpreadActions &actions);
@@ -172,7 +172,7 @@
     void fetchIfBehind(TimePoint now, SpreadActions &actions);
     std::optional<InstanceId> chooseSource(Revision wanted, TimePoint now);
     void readIfDue(bool reader, TimePoint now, SpreadActions &actions);
-    void setReach(bool inReach, SpreadActions &actions);
+    static void announceIf(bool news, SpreadActions &actions);
     Milliseconds readPause(bool reader) const;
     TimePoint readDueAt(bool reader) const;
 
--- a/src/core/configurationspread.cpp
+++ b/src/core/configurationspread.cpp
@@ -20,7 +20,7 @@
     }
     void operator()(const StoreFailed &event) const
     {
-        this->spread.onStoreFailed(event, this->now, this->actions);
+        this->spread.onStoreFailed(event, this->actions);
     }
     void operator()(const PeerReplied &event) const
     {
@@ -69,7 +69,9 @@
     }
     std::erase_if(this->heard, [&](const auto &row) { return now - row.second.at > this->limits.heardWindow; });
     if (this->storeInReach && now - *this->answeredAt > this->limits.reachAge) {
-        this->setReach(false, actions);
+        // A reader misses an answer; another instance has only not asked for a while, which is no news.
+        this->storeInReach = false;
+        this->announceIf(!this->openReads.empty(), actions);
     }
     this->readIfDue(tick.reader, now, actions);
 }
@@ -77,9 +79,10 @@
 void ConfigurationSpread::onStoreAnswered(const StoreAnswered &answer, TimePoint now, SpreadActions &actions)
 {
     std::erase(this->openReads, answer.askedAt);
+    this->announceIf(!this->storeInReach && this->failedReads > 0, actions);
     this->failedReads = 0;
     this->answeredAt = now;
-    this->setReach(true, actions);
+    this->storeInReach = true;
     if (answer.revision == Revision()) {
         return;
     }
@@ -104,13 +107,14 @@
     }
 }
 
-void ConfigurationSpread::onStoreFailed(const StoreFailed &failure, TimePoint now, SpreadActions &actions)
+void ConfigurationSpread::onStoreFailed(const StoreFailed &failure, SpreadActions &actions)
 {
     std::erase(this->openReads, failure.askedAt);
     ++this->failedReads;
-    const bool answeredSince = this->answeredAt && *this->answeredAt > failure.askedAt && now > *this->answeredAt;
+    const bool answeredSince = this->answeredAt && *this->answeredAt > failure.askedAt;
     if (!answeredSince) {
-        this->setReach(false, actions);
+        this->announceIf(this->storeInReach, actions);
+        this->storeInReach = false;
     }
 }
 
@@ -309,14 +313,12 @@
     actions.emplace_back(ReadStore{});
 }
 
-void ConfigurationSpread::setReach(bool inReach, SpreadActions &actions)
+void ConfigurationSpread::announceIf(bool news, SpreadActions &actions)
 {
-    if (this->storeInReach == inReach) {
-        return;
+    // The others count on this instance's word when they judge whether the store is down for all.
+    if (news) {
+        actions.emplace_back(Announce{});
     }
-    this->storeInReach = inReach;
-    // The others count on this word when they judge whether the store is down for all.
-    actions.emplace_back(Announce{});
 }
 
 Revision ConfigurationSpread::revision() const noexcept
--- a/src/net/controldriver.h
+++ b/src/net/controldriver.h
@@ -22,7 +22,7 @@
 {
     Milliseconds shortestPause{20}; ///< between two turns of the timer
     Milliseconds listInterval{1000}; ///< between reads of the platform's list, at least
-    std::size_t listBytesPerSecond = 1000; ///< a long list is read less often
+    std::size_t listBytesPerSecond = 500; ///< a long list is read less often
 };
 
 /// @brief The control part of one instance; lives until its last asynchronous operation has ended.
--- a/src/net/controlplane.cpp
+++ b/src/net/controlplane.cpp
@@ -51,7 +51,7 @@
 }
 
 void ControlPlane::askRoom(const UpstreamId &upstream, const AccountId &account, unsigned count,
-                           std::function<void(unsigned)> made)
+                           const std::function<void(unsigned)> &made)
 {
     this->driver->askRoom(upstream, account, count, made);
 }
--- a/src/net/peerloop.cpp
+++ b/src/net/peerloop.cpp
@@ -180,7 +180,7 @@
     return branch;
 }
 
-void PeerLoop::call(const std::string &address, PeerCall call, PeerNetwork::Callback callback)
+void PeerLoop::call(const std::string &address, PeerCall call, const PeerNetwork::Callback &callback)
 {
     ++this->counters.callsSent;
     auto answer = kj::evalNow([&]() {
--- a/src/net/peerloop.h
+++ b/src/net/peerloop.h
@@ -85,7 +85,7 @@
     /// @brief Runs until quit().
     void run();
     void quit();
-    void call(const std::string &address, PeerCall call, PeerNetwork::Callback callback);
+    void call(const std::string &address, PeerCall call, const PeerNetwork::Callback &callback);
     void close(const std::string &address);
     void answer(std::uint64_t number, std::optional<PeerAnswer> answer);
     /// @brief Asks the own service for an answer to a peer's call.
--- a/src/net/peermailbox.cpp
+++ b/src/net/peermailbox.cpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <utility>
 
 namespace parsleyvane {
 
--- a/tests/unit-spread.cpp
+++ b/tests/unit-spread.cpp
@@ -232,6 +232,9 @@
     CPPUNIT_TEST(instanceStartedInAnOutageTakesTheHighest);
     CPPUNIT_TEST(minorityStartedInAnOutageTakesNothing);
     CPPUNIT_TEST(wrongClaimOfAPeerStopsNobody);
+    CPPUNIT_TEST(lateAnswersCountFromTheAsking);
+    CPPUNIT_TEST(claimIsForgottenAtACurrentAnswer);
+    CPPUNIT_TEST(majorityDoesNotCountWhileAPeerReachesTheStore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -400,6 +403,60 @@
         fleet.runUntil(fleet.now + inForceLimit, [&]() { CPPUNIT_ASSERT(fleet.instances[0].takesWork(fleet.now)); });
         CPPUNIT_ASSERT(fleet.instances[0].spread->revision() == Revision(2));
     }
+
+    void lateAnswersCountFromTheAsking()
+    {
+        constexpr TimePoint start{Milliseconds(1000000)};
+        constexpr Milliseconds late{5000};
+        ConfigurationSpread spread(start);
+        static_cast<void>(spread.handle(StoreAnswered{start, Revision(1), "a"}, start + late));
+        CPPUNIT_ASSERT(spread.freshness().storeConfirmedAt == start);
+        const Digest digest = peerDigest("a", Revision(1), Milliseconds(10));
+        static_cast<void>(spread.handle(PeerReplied{digest, start + Milliseconds(100)}, start + late));
+        CPPUNIT_ASSERT(spread.freshness().storeConfirmedAt == start + Milliseconds(90));
+        static_cast<void>(spread.handle(PeerAsked{digest}, start + late));
+        CPPUNIT_ASSERT_MESSAGE("a call may have waited in a buffer, so it confirms nothing",
+                               spread.freshness().storeConfirmedAt == start + Milliseconds(90));
+    }
+
+    void claimIsForgottenAtACurrentAnswer()
+    {
+        constexpr TimePoint start{Milliseconds(1000000)};
+        ConfigurationSpread spread(start);
+        static_cast<void>(spread.handle(StoreAnswered{start, Revision(1), "a"}, start));
+        static_cast<void>(spread.handle(PeerAsked{peerDigest("a", Revision(9), Milliseconds(0))}, start));
+        const TimePoint later = start + Milliseconds(500);
+        static_cast<void>(spread.handle(StoreAnswered{later, Revision(1), "a", false}, later));
+        CPPUNIT_ASSERT_MESSAGE("an answer that may be old confirms nothing against a claim",
+                               spread.freshness().storeConfirmedAt == start);
+        static_cast<void>(spread.handle(StoreAnswered{later, Revision(1), "a", true}, later));
+        CPPUNIT_ASSERT(spread.freshness().storeConfirmedAt == later);
+    }
+
+    void majorityDoesNotCountWhileAPeerReachesTheStore()
+    {
+        constexpr TimePoint start{Milliseconds(1000000)};
+        for (const bool reaches : {false, true}) {
+            ConfigurationSpread spread(start);
+            static_cast<void>(spread.handle(StoreAnswered{start, Revision(2), "a"}, start));
+            static_cast<void>(spread.handle(SpreadTick{true, {.peers = {InstanceId("a"), InstanceId("b")}}}, start));
+            const TimePoint later = start + Milliseconds(4000);
+            static_cast<void>(spread.handle(StoreFailed{later}, later));
+            Digest digest = peerDigest("a", Revision(1), std::nullopt);
+            digest.storeInReach = reaches;
+            static_cast<void>(spread.handle(PeerReplied{digest, later}, later));
+            CPPUNIT_ASSERT_EQUAL(!reaches, spread.freshness().majorityHeardAt == later);
+        }
+    }
+
+private:
+    static Digest peerDigest(const std::string &name, Revision revision, std::optional<Milliseconds> age)
+    {
+        Digest digest{.instance = InstanceId(name), .zone = ZoneId("zone-1"), .address = name + ":1"};
+        digest.revision = revision;
+        digest.confirmedAge = age;
+        return digest;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SpreadTest);
