--- a/tests/unit-spread.cpp
+++ b/tests/unit-spread.cpp
@@ -414,6 +414,9 @@
         const Digest digest = peerDigest("a", Revision(1), Milliseconds(10));
         static_cast<void>(spread.handle(PeerReplied{digest, start + Milliseconds(100)}, start + late));
         CPPUNIT_ASSERT(spread.freshness().storeConfirmedAt == start + Milliseconds(90));
+        static_cast<void>(spread.handle(PeerAsked{digest}, start + late));
+        CPPUNIT_ASSERT_MESSAGE("a call may have waited in a buffer, so it confirms nothing",
+                               spread.freshness().storeConfirmedAt == start + Milliseconds(90));
     }
 
     void claimIsForgottenAtACurrentAnswer()
