--- a/cmake/bench.cmake
+++ b/cmake/bench.cmake
@@ -6,3 +6,5 @@
 # Each experiment: prints `name value unit bound verdict` lines and fails past a bound.
 add_executable(bench-quarantine bench/quarantine.cpp)
 target_link_libraries(bench-quarantine PRIVATE parsleyvane-core)
+add_executable(bench-rollout bench/rollout.cpp)
+target_link_libraries(bench-rollout PRIVATE parsleyvane-core)
