--- a/cmake/bench.cmake
+++ b/cmake/bench.cmake
@@ -9,3 +9,5 @@
 # Wall-clock figures of one instance on loopback: reported, not gated.
 add_executable(bench-path bench/pathcost.cpp)
 target_link_libraries(bench-path PRIVATE parsleyvane-rig)
+add_executable(bench-rollout bench/rollout.cpp)
+target_link_libraries(bench-rollout PRIVATE parsleyvane-core)
