Decide priority by a pure policy: borrow the reserve, send the claim before the slot is freed

Cause: what a claim does was spread over ModelCall and ChatFlow as constants and had never been measured. Measured, the present order (interrupt, then send) gives the freed slot to whatever waits in the engine's queue.

Ruled out: the lane (idle capacity, write-ups 78 s later), a cap of three interruptions (nothing left to interrupt after minutes of claims). Chosen: at most 20 interruptions with a floor of progress that grows with each one.

--- /dev/null
+++ b/bench/priorityscenario.h
@@ -0,0 +1,125 @@
+/**
+ * @file
+ * @brief Seven controllers over one fake pool: the workload, the ways and the scenarios of the priority experiment.
+ */
+#pragma once
+
+#include "fakepool.h"
+#include "parsleyvane/priority/prioritypolicy.h"
+
+#include <array>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace parsleyvane::bench {
+
+/// @brief One way to give priority.
+struct PriorityWay
+{
+    std::string name;
+    bool ordersQueue = false; ///< engines get the policy's numbers
+    bool interrupts = false; ///< claims interrupt resumable work
+    bool anyEngine = false; ///< claims go where room can be made, not to the engine that placement drew
+    bool slotFirst = false; ///< the slot is freed before the claim is sent
+    double reserve = 0; ///< share of each engine's slots that only claims may take
+    PriorityOptions options;
+};
+
+/// @brief One state of the world when the first claim comes.
+struct PriorityScenario
+{
+    std::string name;
+    std::size_t claimEngines = 8; ///< engines that have the claimed version loaded
+    Milliseconds loadTime{0}; ///< time until they have loaded it, from the first claim on
+    bool storeDown = false; ///< each controller counts only its own requests
+    bool writeUps = true;
+    double interactiveShare = 0.45;
+    double claimShare = 0.15;
+    bool bounded = true; ///< whether the aims are held here
+};
+
+/// @brief Figures of one run, or of several put together.
+struct PriorityFigures
+{
+    std::vector<double> claimMs;
+    std::vector<double> idleMs; ///< what the same claims take in an idle system
+    std::vector<double> firstClaimsMs;
+    std::vector<double> firstIdleMs;
+    std::vector<double> interactiveMs;
+    std::vector<double> writeUpDelayS;
+    std::vector<double> interruptions;
+    double heldIdleSlotMs = 0;
+    double slotMs = 0;
+    unsigned missing = 0;
+
+    void add(const PriorityFigures &other);
+};
+
+/**
+ * @brief One run: an hour without claims, five minutes with, then until all work is done.
+ */
+class PriorityRun
+{
+public:
+    // constructors
+    PriorityRun(const PriorityWay &way, const PriorityScenario &scenario, unsigned seed);
+
+    // modifiers
+    PriorityFigures run();
+
+    static constexpr std::size_t controllers = 7;
+    static constexpr std::size_t engines = 8;
+    static constexpr unsigned slots = 10;
+
+private:
+    struct Arrivals
+    {
+        JobKind kind;
+        double perSecond;
+        Milliseconds from;
+        Milliseconds until;
+    };
+
+    void addArrivals(const Arrivals &arrivals);
+    void addJob(JobKind kind, TimePoint at);
+    void dispatch(std::size_t index);
+    bool laneAdmits(const Job &job, std::size_t engine) const;
+    std::size_t chooseEngine(const Job &job);
+    unsigned viewOf(std::size_t controller, std::size_t engine) const;
+    void send(std::size_t index, std::size_t engine);
+    void requeueLater(std::size_t index);
+    void claim(std::size_t index);
+    std::vector<EngineRoom> roomsOf(std::size_t controller) const;
+    std::vector<RunningWork> workOf(std::size_t controller, std::size_t engine) const;
+    void recheck(std::size_t index);
+    void interruptFor(std::size_t index, const InterruptHere &decision);
+    void askPeer(std::size_t index, std::size_t asked);
+    void onReleased(std::size_t index);
+    void releaseHeld(std::size_t engine);
+    void report();
+    void measureHeld();
+    PriorityFigures figures() const;
+
+    PriorityWay way;
+    PriorityScenario scenario;
+    PriorityPolicy policy;
+    std::mt19937_64 random;
+    VirtualClock clock;
+    std::vector<Job> jobs;
+    FakePool pool;
+    std::vector<std::vector<std::size_t>> atEngine;
+    std::array<std::array<unsigned, engines>, controllers> inFlight{};
+    std::array<unsigned, engines> ordinary{};
+    std::array<unsigned, engines> reported{};
+    std::vector<std::array<bool, engines>> disproved; ///< for each job
+    std::deque<std::size_t> held;
+    unsigned pausing = 0;
+    std::size_t unfinished = 0;
+    TimePoint heldSince{};
+    unsigned heldIdle = 0;
+    double heldIdleSlotMs = 0;
+};
+
+} // namespace parsleyvane::bench
