Place by own work and by rendezvous of the prefix; leave late load reports unused

Cause: two choices trusted load reports that are older than a request lasts, so that all instances went where there had been room, and the prefix that a question carries was not looked at.

Not measured: engines shared with others or of unequal speed, and instances with less than about one request under way for each engine.

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -1,14 +1,14 @@
 #include "parsleyvane/routing/placement.h"
 
+#include "parsleyvane/core/overloaded.h"
+#include "parsleyvane/membership/rendezvous.h"
+
 #include <algorithm>
 
 namespace parsleyvane {
 
 namespace {
 
-/// Reports older than this say nothing any more.
-constexpr Milliseconds reportLife{10000};
-
 bool isUsable(const Blackboard &blackboard, const Upstream &upstream, const std::set<UpstreamId> &tried, TimePoint now)
 {
     if (tried.contains(upstream.id)) {
@@ -27,19 +27,6 @@
     return engine != nullptr && std::find(engine->loads.begin(), engine->loads.end(), version) != engine->loads.end();
 }
 
-double workAt(const Blackboard &blackboard, const UpstreamId &id, TimePoint now)
-{
-    const auto view = blackboard.upstreams.find(id);
-    if (view == blackboard.upstreams.end()) {
-        return 0;
-    }
-    const UpstreamView &upstream = view->second;
-    const Milliseconds age = now - upstream.reportedAt;
-    const double trust
-        = age >= reportLife ? 0 : 1 - static_cast<double>(age.count()) / static_cast<double>(reportLife.count());
-    return upstream.inFlightHere + trust * (upstream.reportedRunning + upstream.reportedWaiting);
-}
-
 Failure noUpstream(const std::string &what)
 {
     constexpr Milliseconds retryAfter{1000};
@@ -51,54 +38,156 @@
 
 } // namespace
 
-Placement::Placement(std::uint64_t seed)
+Placement::Placement(std::uint64_t seed, PlacementOptions options)
     : random(seed)
+    , options(std::move(options))
 {
 }
 
 std::optional<UpstreamId> Placement::chooseEngine(const Blackboard &blackboard, const PlacementQuestion &question,
                                                   TimePoint now, LastReason &reason)
 {
-    std::vector<const Upstream *> candidates;
+    std::vector<Candidate> candidates;
     for (const Upstream &upstream : blackboard.configuration->upstreams) {
         if (!loadsVersion(upstream, question.version) || !isUsable(blackboard, upstream, question.tried, now)) {
             continue;
         }
-        candidates.push_back(&upstream);
+        candidates.push_back({&upstream, this->workAt(blackboard, upstream.id, now)});
     }
-    if (auto chosen = this->lighterOfTwo(blackboard, candidates, now)) {
-        return chosen;
+    auto chosen = this->choosePreferred(candidates, question.prefix, now);
+    if (!chosen) {
+        chosen = this->chooseLight(candidates);
     }
-    return reason.fail(noUpstream(question.version.model.str() + "@" + question.version.version.str()));
+    if (!chosen) {
+        return reason.fail(noUpstream(question.version.model.str() + "@" + question.version.version.str()));
+    }
+    this->onCacheEvent(question.prefix, *chosen, true, now);
+    return chosen;
 }
 
 std::optional<UpstreamId> Placement::chooseService(const Blackboard &blackboard, const ServiceName &service,
                                                    const std::set<UpstreamId> &tried, TimePoint now, LastReason &reason)
 {
-    std::vector<const Upstream *> candidates;
+    std::vector<Candidate> candidates;
     for (const Upstream &upstream : blackboard.configuration->upstreams) {
         const auto *plain = std::get_if<PlainService>(&upstream.kind);
         if (plain == nullptr || plain->name != service || !isUsable(blackboard, upstream, tried, now)) {
             continue;
         }
-        candidates.push_back(&upstream);
+        candidates.push_back({&upstream, this->workAt(blackboard, upstream.id, now)});
     }
-    if (auto chosen = this->lighterOfTwo(blackboard, candidates, now)) {
+    if (auto chosen = this->chooseLight(candidates)) {
         return chosen;
     }
     return reason.fail(noUpstream(service.str()));
 }
 
-std::optional<UpstreamId> Placement::lighterOfTwo(const Blackboard &blackboard,
-                                                  const std::vector<const Upstream *> &candidates, TimePoint now)
+void Placement::onCacheEvent(const std::string &prefix, const UpstreamId &engine, bool kept, TimePoint now)
+{
+    auto *learned = std::get_if<LearnedAffinity>(&this->options.affinity);
+    if (learned == nullptr) {
+        return;
+    }
+    if (kept) {
+        learned->index.onKept(prefix, engine, now);
+    } else {
+        learned->index.onDropped(prefix, engine);
+    }
+}
+
+std::optional<UpstreamId> Placement::choosePreferred(const std::vector<Candidate> &candidates,
+                                                     const std::string &prefix, TimePoint now) const
+{
+    double total = 0;
+    for (const Candidate &candidate : candidates) {
+        total += candidate.work;
+    }
+    const double mean = total / static_cast<double>(candidates.size());
+    const double bound = this->options.affinitySlack * mean + this->options.affinityMargin;
+    for (const UpstreamId &id : this->preferred(candidates, prefix, now)) {
+        for (const Candidate &candidate : candidates) {
+            if (candidate.upstream->id == id && candidate.work < bound) {
+                return id;
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<UpstreamId> Placement::preferred(const std::vector<Candidate> &candidates, const std::string &prefix,
+                                             TimePoint now) const
+{
+    std::vector<UpstreamId> engines;
+    const auto learned = [&](const LearnedAffinity &affinity) {
+        for (const UpstreamId &holder : affinity.index.holders(prefix, now)) {
+            engines.push_back(holder);
+        }
+    };
+    const auto rendezvous = [&](const RendezvousAffinity &affinity) {
+        std::vector<std::string> names;
+        names.reserve(candidates.size());
+        for (const Candidate &candidate : candidates) {
+            names.push_back(candidate.upstream->id.str());
+        }
+        for (std::string &name : chooseByRendezvous(prefix, names, affinity.holders)) {
+            engines.emplace_back(std::move(name));
+        }
+    };
+    std::visit(Overloaded{[](const NoAffinity &) {}, learned, rendezvous}, this->options.affinity);
+    return engines;
+}
+
+std::optional<UpstreamId> Placement::chooseLight(const std::vector<Candidate> &candidates)
 {
     if (candidates.empty()) {
         return std::nullopt;
     }
+    const auto twoChoices = [&](const TwoChoices &) {
+        return this->lighterOfTwo(candidates).upstream->id;
+    };
+    const auto leastWork = [&](const LeastWork &) {
+        return this->lightest(candidates).upstream->id;
+    };
+    return std::visit(Overloaded{twoChoices, leastWork}, this->options.balance);
+}
+
+const Placement::Candidate &Placement::lighterOfTwo(const std::vector<Candidate> &candidates)
+{
     std::uniform_int_distribution<std::size_t> draw(0, candidates.size() - 1);
-    const UpstreamId &first = candidates[draw(this->random)]->id;
-    const UpstreamId &second = candidates[draw(this->random)]->id;
-    return workAt(blackboard, second, now) < workAt(blackboard, first, now) ? second : first;
+    const Candidate &first = candidates[draw(this->random)];
+    const Candidate &second = candidates[draw(this->random)];
+    return second.work < first.work ? second : first;
+}
+
+const Placement::Candidate &Placement::lightest(const std::vector<Candidate> &candidates)
+{
+    const Candidate *least = nullptr;
+    std::size_t equals = 0;
+    for (const Candidate &candidate : candidates) {
+        if (least == nullptr || candidate.work < least->work) {
+            least = &candidate;
+            equals = 1;
+            continue;
+        }
+        // Each of the equals comes out with the same chance.
+        if (candidate.work <= least->work
+            && std::uniform_int_distribution<std::size_t>(0, equals++)(this->random) == 0) {
+            least = &candidate;
+        }
+    }
+    return *least;
+}
+
+double Placement::workAt(const Blackboard &blackboard, const UpstreamId &id, TimePoint now) const
+{
+    const auto found = blackboard.upstreams.find(id);
+    if (found == blackboard.upstreams.end()) {
+        return 0;
+    }
+    const UpstreamView &view = found->second;
+    const auto age = static_cast<double>((now - view.reportedAt).count());
+    const double trust = std::clamp(1 - age / static_cast<double>(this->options.reportLife.count()), 0.0, 1.0);
+    return view.inFlightHere + this->options.reportWeight * trust * (view.reportedRunning + view.reportedWaiting);
 }
 
 } // namespace parsleyvane
