--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -98,6 +98,9 @@
 std::optional<UpstreamId> Placement::choosePreferred(const std::vector<Candidate> &candidates,
                                                      const std::string &prefix, TimePoint now) const
 {
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
     double total = 0;
     for (const Candidate &candidate : candidates) {
         total += candidate.work;
