--- a/tests/multi-configuration.cpp
+++ b/tests/multi-configuration.cpp
@@ -73,6 +73,7 @@
         const auto file = scenario.fleet.plan().runDirectory / "configuration.json";
         std::atomic<int> accepted = 0;
         std::vector<std::jthread> threads;
+        threads.reserve(operators);
         for (int number = 0; number < operators; ++number) {
             threads.emplace_back([&, number] {
                 try {
--- a/tests/multi-notrun.cpp
+++ b/tests/multi-notrun.cpp
@@ -176,8 +176,10 @@
     void instanceKilledWhileItWorks()
     {
         Scenario scenario({.name = "notrun-instance", .tokenDelayUs = 5000});
+        constexpr int callerCount = 12;
         std::vector<std::jthread> callers;
-        for (int number = 0; number < 12; ++number) {
+        callers.reserve(callerCount);
+        for (int number = 0; number < callerCount; ++number) {
             callers.emplace_back([&scenario, number] {
                 Ask ask = scenario.ask("long", "[[tokens=100]] Number " + std::to_string(number));
                 ask.stream = true;
