--- a/include/parsleyvane/config/configuration.h
+++ b/include/parsleyvane/config/configuration.h
@@ -23,6 +23,8 @@
     ModelName model;
     VersionName version;
 
+    // The linter takes the zero of the generated comparison for a pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const ModelVersion &, const ModelVersion &) = default;
 };
 
--- a/include/parsleyvane/net/chatflow.h
+++ b/include/parsleyvane/net/chatflow.h
@@ -15,8 +15,9 @@
 /**
  * @brief Serves one chat completion.
  *
- * The models of a cascade are asked in turn until an answer passes its rating; the last one's answer is taken as it
- * is. A session stays on the version that answered its first turn. The end of the answer is held back for the bill.
+ * The models of a cascade are asked in turn until an answer passes its rating; where to begin and which answers to have
+ * rated is the CascadeController's to say. The last model's answer is taken as it is. A session stays on the version
+ * that answered its first turn. The end of the answer is held back for the bill.
  */
 class ChatFlow
 {
@@ -32,7 +33,8 @@
     struct Stage
     {
         ModelVersion version;
-        bool last = false; ///< its answer is taken whatever its rating, and streams as it comes
+        std::size_t index = 0; ///< in the chain
+        bool rated = false; ///< its answer is served only if it passes its rating; another one streams as it comes
     };
 
     bool readSession(LastReason &reason);
@@ -45,6 +47,9 @@
     boost::asio::awaitable<bool> begin();
     boost::asio::awaitable<bool> finish(LastReason &reason);
     ModelQuestion question(const Stage &stage) const;
+    CascadeKey cascadeKey() const;
+    CascadeTerms cascadeTerms() const;
+    bool learns() const;
     Bill bill() const;
 
     RouterContext &context;
--- a/include/parsleyvane/net/controlplane.h
+++ b/include/parsleyvane/net/controlplane.h
@@ -97,7 +97,8 @@
     /// @brief What peers may ask of this instance.
     PeerHandlers &handlers();
     /// @brief Replaces what the next heartbeats tell of this instance's other controllers.
-    void setEvidence(Evidence evidence);
+    /// @param urgent whether the peers are told at once instead of with their next heartbeats
+    void setEvidence(Evidence evidence, bool urgent = false);
     /**
      * @brief Hands bills to one live peer, in another availability zone if there is one.
      * @param done called once with whether the peer took them
--- a/include/parsleyvane/net/routercontext.h
+++ b/include/parsleyvane/net/routercontext.h
@@ -4,12 +4,14 @@
  */
 #pragma once
 
+#include "parsleyvane/cascade/cascadecontroller.h"
 #include "parsleyvane/core/blackboard.h"
 #include "parsleyvane/net/billwriter.h"
 #include "parsleyvane/net/evidenceboard.h"
 #include "parsleyvane/net/httpclient.h"
 #include "parsleyvane/net/metrics.h"
 #include "parsleyvane/net/platformclient.h"
+#include "parsleyvane/priority/prioritypolicy.h"
 #include "parsleyvane/retry/attempts.h"
 #include "parsleyvane/routing/placement.h"
 
@@ -24,8 +26,10 @@
 {
     UpstreamId upstream;
     bool resumable = false;
+    bool running = false; ///< the engine has begun to run it
     bool interrupted = false;
-    TimePoint startedAt;
+    unsigned interruptions = 0; ///< of its request, before
+    TimePoint startedAt{}; ///< when the engine began to run it
     HttpCall *call = nullptr;
 };
 
@@ -42,6 +46,8 @@
     Metrics &metrics;
     EvidenceBoard &evidence;
     Placement placement;
+    CascadeController cascade;
+    PriorityPolicy priority;
     RetryBudget retryBudget;
     CallLimits upstreamLimits;
     std::map<AttemptId, ActiveAttempt> active;
@@ -50,10 +56,16 @@
     std::size_t inFlight = 0;
 };
 
+/// @brief The upstream as the priority policy sees it. Complexity: linear in the active attempts.
+EngineRoom roomAt(const RouterContext &context, const UpstreamId &upstream);
+
+/// @brief Interrupts an attempt, whose request goes on later from where it stopped; nothing when it has ended.
+void interruptAttempt(RouterContext &context, const AttemptId &attempt);
+
 /**
- * @brief Interrupts up to `count` resumable attempts at the upstream, the latest started first.
+ * @brief Interrupts up to `count` resumable attempts at the upstream, as the priority policy chooses them.
  *
- * Each interrupted request goes on later from where it stopped. Complexity: linear in the active attempts.
+ * Complexity: linear in the active attempts, for each interruption.
  * @return how many were interrupted
  */
 unsigned interruptResumable(RouterContext &context, const UpstreamId &upstream, unsigned count);
--- a/src/net/chatflow.cpp
+++ b/src/net/chatflow.cpp
@@ -10,10 +10,6 @@
 
 namespace {
 
-/// Priorities as engines see them.
-constexpr int priorityClaimed = 100;
-constexpr int priorityNormal = 10;
-constexpr int priorityResumable = 1;
 /// Rounds of choosing a version anew because the chosen one was withdrawn meanwhile.
 constexpr unsigned maxRechoices = 3;
 
@@ -112,21 +108,23 @@
 asio::awaitable<bool> ChatFlow::runChain(LastReason &reason)
 {
     if (this->session) {
-        const Stage pinned{this->session->pinned, true};
+        const Stage pinned{this->session->pinned};
         co_return co_await this->runStage(pinned, reason);
     }
     const auto models = this->chain(reason);
     if (!models) {
         co_return false;
     }
-    for (std::size_t i = 0; i < models->size(); ++i) {
-        const bool last = i + 1 == models->size();
+    CascadeController &cascade = this->context.cascade;
+    const std::size_t first = this->learns() ? cascade.start(this->cascadeKey(), this->cascadeTerms()) : 0;
+    for (std::size_t i = first; i < models->size(); ++i) {
+        const bool rated = this->learns() && cascade.shouldRate(this->cascadeKey(), this->cascadeTerms(), i);
         for (unsigned round = 0; round < maxRechoices; ++round) {
             const auto version = this->chooseStage(models->at(i), reason);
             if (!version) {
                 break;
             }
-            const Stage stage{*version, last};
+            const Stage stage{*version, i, rated};
             if (co_await this->runStage(stage, reason)) {
                 co_return true;
             }
@@ -150,11 +148,12 @@
     this->facts.asked.push_back(stage.version);
     this->facts.version = stage.version;
     TextSink sink;
-    if (stage.last && this->chat.stream) {
+    if (!stage.rated && this->chat.stream) {
         sink = [this](std::string text) {
             return this->deliver(std::move(text));
         };
     }
+    const TimePoint askedAt = bootTime();
     ModelCall call(this->context, this->question(stage), std::move(sink));
     auto answer = co_await call.run(reason);
     if (!answer) {
@@ -169,15 +168,22 @@
     this->facts.usage.promptTokens += answer->usage.promptTokens;
     this->facts.usage.cachedTokens += answer->usage.cachedTokens;
     this->facts.usage.outputTokens += answer->usage.outputTokens;
-    this->facts.cost += costOf(answer->usage, *this->admission.configuration, stage.version);
+    const MicroCost cost = costOf(answer->usage, *this->admission.configuration, stage.version);
+    this->facts.cost += cost;
+    if (this->learns()) {
+        this->context.cascade.onAnswer(this->cascadeKey(), stage.version.model, cost, bootTime() - askedAt);
+    }
     this->context.metrics.countTokens(answer->usage.outputTokens);
     std::optional<bool> rating;
-    if (!stage.last) {
+    if (stage.rated) {
         rating = co_await this->rate(*answer);
     }
     // Without a rating an answer is not known to be good, so the next model is asked; the version is not blamed.
-    const bool good = stage.last || rating.value_or(false);
+    const bool good = !stage.rated || rating.value_or(false);
     const bool blamed = rating.has_value() && !*rating;
+    if (rating) {
+        this->context.cascade.onRating(this->cascadeKey(), stage.version.model, *rating);
+    }
     this->context.evidence.count(stage.version, blamed ? AnswerOutcome::FailedRating : AnswerOutcome::Good);
     if (!good) {
         this->context.metrics.countEvent("escalated");
@@ -190,7 +196,7 @@
     if (answer->firstTokenAt) {
         this->facts.firstToken = *answer->firstTokenAt - this->admission.receivedAt;
     }
-    const bool streamed = stage.last && this->chat.stream;
+    const bool streamed = !stage.rated && this->chat.stream;
     this->answerText = std::move(answer->text);
     if (this->chat.stream && !streamed) {
         co_return co_await this->deliver(this->answerText);
@@ -201,12 +207,14 @@
 asio::awaitable<std::optional<bool>> ChatFlow::rate(const ModelAnswer &answer)
 {
     LastReason reason;
+    const TimePoint askedAt = bootTime();
     const auto rating = co_await this->context.platform.rate(this->admission.account->id, this->admission.task->name,
                                                              this->chat.prompt, answer.text, reason);
     if (!rating) {
         this->context.metrics.countEvent("rating_failed");
         co_return std::nullopt;
     }
+    this->context.cascade.onRatingLatency(bootTime() - askedAt);
     this->context.metrics.countEvent("rated");
     co_return rating->passed;
 }
@@ -277,13 +285,24 @@
     question.repeatable = this->admission.task->repeatable;
     question.resumable = this->task.resumable && !this->admission.claimed;
     question.maxWait = this->admission.maxWait;
-    question.priority = this->task.resumable ? priorityResumable : priorityNormal;
-    if (this->admission.claimed) {
-        question.priority = priorityClaimed;
-    }
     return question;
 }
 
+CascadeKey ChatFlow::cascadeKey() const
+{
+    return {this->admission.account->id, this->admission.task->name};
+}
+
+CascadeTerms ChatFlow::cascadeTerms() const
+{
+    return {this->task.chain, this->task.qualityTarget, this->admission.account->costWeight};
+}
+
+bool ChatFlow::learns() const
+{
+    return !this->session && !this->chat.model && this->task.chain.size() > 1;
+}
+
 Bill ChatFlow::bill() const
 {
     return {this->facts.request, this->admission.account->id,    this->admission.task->name,
--- a/src/net/controldriver.cpp
+++ b/src/net/controldriver.cpp
@@ -385,7 +385,7 @@
     }
 }
 
-void ControlPlane::Driver::setEvidence(Evidence evidence)
+void ControlPlane::Driver::setEvidence(Evidence evidence, bool urgent)
 {
     for (const UpstreamId &upstream : evidence.leavingUpstreams) {
         this->leavingUpstreams.insert(upstream);
@@ -395,6 +395,10 @@
         this->evidence = std::move(evidence);
         ++this->evidenceNumber;
     }
+    if (urgent && !this->stopped) {
+        this->membership->announce();
+        this->armTimer(bootTime());
+    }
 }
 
 ControlCounters ControlPlane::Driver::counters() const
--- a/src/net/controldriver.h
+++ b/src/net/controldriver.h
@@ -36,7 +36,7 @@
     bool start(LastReason &reason);
     void stop();
     void setLeaving();
-    void setEvidence(Evidence evidence);
+    void setEvidence(Evidence evidence, bool urgent);
     void sendBills(std::string bills, std::function<void(bool)> done);
     void askRoom(const UpstreamId &upstream, const AccountId &account, unsigned count,
                  const std::function<void(unsigned)> &made);
--- a/src/net/controlplane.cpp
+++ b/src/net/controlplane.cpp
@@ -40,9 +40,9 @@
     return this->driver->handlers;
 }
 
-void ControlPlane::setEvidence(Evidence evidence)
+void ControlPlane::setEvidence(Evidence evidence, bool urgent)
 {
-    this->driver->setEvidence(std::move(evidence));
+    this->driver->setEvidence(std::move(evidence), urgent);
 }
 
 void ControlPlane::sendBills(std::string bills, std::function<void(bool)> done)
--- a/src/net/evidenceboard.cpp
+++ b/src/net/evidenceboard.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Peers are told of a crash at once; by then each has heard of it, by its next heartbeat even if that call was lost.
+constexpr Milliseconds peerNewsTime{2000};
+
 void add(VersionEvidence &total, const VersionEvidence &part)
 {
     total.served += part.served;
@@ -18,7 +21,7 @@
 } // namespace
 
 EvidenceBoard::EvidenceBoard(InstanceId self)
-    : suspects(std::move(self))
+    : suspects(std::move(self), {.spread = peerNewsTime})
 {
 }
 
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -75,6 +75,8 @@
               .metrics = this->metrics,
               .evidence = this->evidence,
               .placement = Placement(std::random_device()()),
+              .cascade = CascadeController(std::random_device()()),
+              .priority = PriorityPolicy(),
               .retryBudget = RetryBudget(),
               .upstreamLimits = {.progress = settings.limits.silence}}
     , router(this->context)
@@ -104,7 +106,7 @@
     this->plane.handlers().evidence = [this](const InstanceId &from, const Evidence &told) {
         this->evidence.merge(from, told, bootTime());
     };
-    this->evidence.onChange([this]() { this->plane.setEvidence(this->evidence.current(bootTime())); });
+    this->evidence.onChange([this]() { this->plane.setEvidence(this->evidence.current(bootTime()), true); });
     asio::co_spawn(this->io, this->shareEvidence(), asio::detached);
     this->context.askPeersForRoom = [this](const UpstreamId &upstream, const AccountId &account, unsigned count) {
         this->plane.askRoom(upstream, account, count);
--- a/src/net/routercontext.cpp
+++ b/src/net/routercontext.cpp
@@ -1,28 +1,53 @@
 #include "parsleyvane/net/routercontext.h"
 
+#include "parsleyvane/core/clock.h"
 #include "parsleyvane/net/endpoint.h"
 
+#include <algorithm>
+
 namespace parsleyvane {
 
+EngineRoom roomAt(const RouterContext &context, const UpstreamId &upstream)
+{
+    EngineRoom room{.upstream = upstream};
+    const Upstream *entry = context.blackboard.configuration->findUpstream(upstream);
+    const auto *engine = entry != nullptr ? std::get_if<Engine>(&entry->kind) : nullptr;
+    room.slots = engine != nullptr ? engine->slots : 0;
+    const auto view = context.blackboard.upstreams.find(upstream);
+    if (view != context.blackboard.upstreams.end()) {
+        const unsigned reported = view->second.reportedRunning + view->second.reportedWaiting;
+        room.load = std::max(view->second.inFlightHere, reported);
+    }
+    for (const auto &[id, attempt] : context.active) {
+        if (attempt.upstream != upstream) {
+            continue;
+        }
+        room.work.push_back(
+            {id, attempt.resumable, attempt.running, attempt.interrupted, attempt.interruptions, attempt.startedAt});
+    }
+    return room;
+}
+
+void interruptAttempt(RouterContext &context, const AttemptId &attempt)
+{
+    const auto found = context.active.find(attempt);
+    if (found == context.active.end() || found->second.interrupted) {
+        return;
+    }
+    found->second.interrupted = true;
+    found->second.call->close();
+    context.metrics.countEvent("interrupted");
+}
+
 unsigned interruptResumable(RouterContext &context, const UpstreamId &upstream, unsigned count)
 {
     unsigned made = 0;
     while (made < count) {
-        ActiveAttempt *latest = nullptr;
-        for (auto &[id, attempt] : context.active) {
-            if (attempt.upstream != upstream || !attempt.resumable || attempt.interrupted) {
-                continue;
-            }
-            if (latest == nullptr || attempt.startedAt > latest->startedAt) {
-                latest = &attempt;
-            }
-        }
-        if (latest == nullptr) {
+        const auto victim = context.priority.chooseVictim({roomAt(context, upstream)}, bootTime());
+        if (!victim) {
             break;
         }
-        latest->interrupted = true;
-        latest->call->close();
-        context.metrics.countEvent("interrupted");
+        interruptAttempt(context, victim->attempt);
         ++made;
     }
     return made;
