--- a/cmake/daemons.cmake
+++ b/cmake/daemons.cmake
@@ -1,1 +1,2 @@
 parsleyvane_program(parsleyvaned daemons/parsleyvaned.cpp)
+target_link_libraries(parsleyvaned PRIVATE parsleyvane-platform)
--- a/daemons/parsleyvaned.cpp
+++ b/daemons/parsleyvaned.cpp
@@ -1,6 +1,9 @@
 // parsleyvaned: one entry instance of the router.
 
+#include "parsleyvane/forward/ingressinstance.h"
+#include "parsleyvane/net/endpoint.h"
 #include "parsleyvane/net/instance.h"
+#include "platform/platform.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -59,9 +62,17 @@
     return settings;
 }
 
-int serve(const parsleyvane::InstanceSettings &settings)
+std::unique_ptr<parsleyvane::PlatformPort> makePlatform(boost::asio::io_context &context, const std::string &address)
+{
+    parsleyvane::LastReason reason;
+    // The settings were checked, so the address is known to be one.
+    const auto store = parsleyvane::parseEndpoint(address, reason).value_or(boost::asio::ip::tcp::endpoint());
+    return std::make_unique<parsleyvane::platform::Platform>(context.get_executor(), store);
+}
+
+template<typename Program>
+int serve(Program &instance)
 {
-    parsleyvane::Instance instance(settings);
     parsleyvane::LastReason reason;
     if (!instance.start(reason)) {
         std::cerr << "parsleyvaned: " << parsleyvane::describe(reason.failure()) << '\n';
@@ -93,5 +104,13 @@
         std::cout << "settings are valid\n";
         return exitOk;
     }
-    return serve(*settings);
+    if (settings->front == parsleyvane::FrontKind::Ingress) {
+        const auto platform = [&](boost::asio::io_context &context) {
+            return makePlatform(context, settings->platformAddress);
+        };
+        parsleyvane::IngressInstance instance(*settings, platform, loadSettings);
+        return serve(instance);
+    }
+    parsleyvane::Instance instance(*settings);
+    return serve(instance);
 }
--- a/include/parsleyvane/config/settings.h
+++ b/include/parsleyvane/config/settings.h
@@ -20,6 +20,8 @@
     std::string callers;
     std::string operators;
     std::string peers;
+
+    friend bool operator==(const ListenSettings &, const ListenSettings &) = default;
 };
 
 /// @brief Bounds on what an instance takes and how long it waits.
@@ -39,6 +41,33 @@
     Milliseconds drainLinger{5000};
     /// @brief Time that the end of an answer is held back for its bill during an outage of the platform.
     Milliseconds billHold{2000};
+
+    friend bool operator==(const LimitSettings &, const LimitSettings &) = default;
+};
+
+/// @brief What callers speak.
+enum class FrontKind {
+    Chat, ///< the project's own chat and task API
+    Ingress, ///< plain HTTP, forwarded by host and path
+};
+
+/// @brief What the deployment promises of the fleet as a whole; only the ingress front reads them.
+struct BoundSettings
+{
+    /// @brief From the request to stop until the process is killed.
+    Milliseconds grace{8000};
+    /// @brief Sendings beyond the first of each request, as a share of the requests.
+    double repeatRatio = 0.2;
+    /// @brief The window over which these are counted.
+    Milliseconds repeatWindow{10000};
+    /// @brief Such sendings in a window that need no requests.
+    double repeatSlack = 10;
+    /// @brief Most of a service's requests that a bad version may get.
+    double exposeShare = 0.1;
+    /// @brief Requests of a session follow each other within this.
+    Milliseconds sessionLife{5000};
+
+    friend bool operator==(const BoundSettings &, const BoundSettings &) = default;
 };
 
 /// @brief All settings of one instance; docs/CONFIGURATION.md lists the keys.
@@ -52,6 +81,10 @@
     /// @brief Peer listeners of other instances.
     std::vector<std::string> seeds;
     LimitSettings limits;
+    FrontKind front = FrontKind::Chat;
+    BoundSettings bounds;
+
+    friend bool operator==(const InstanceSettings &, const InstanceSettings &) = default;
 };
 
 /// @brief Values that replace those of the file, by "section.key".
--- a/include/parsleyvane/core/textcodec.h
+++ b/include/parsleyvane/core/textcodec.h
@@ -19,5 +19,9 @@
 std::string hexEncode(std::string_view bytes);
 /// @brief Reads what hexEncode() wrote; empty for other text. Complexity: linear.
 std::optional<std::string> hexDecode(std::string_view text);
+/// @brief Base64 with padding (RFC 4648, section 4). Complexity: linear.
+std::string base64Encode(std::string_view bytes);
+/// @brief Reads what base64Encode() wrote; empty for other text. Complexity: linear.
+std::optional<std::string> base64Decode(std::string_view text);
 
 } // namespace parsleyvane
--- /dev/null
+++ b/include/parsleyvane/ingress/fleetreport.h
@@ -0,0 +1,32 @@
+/**
+ * @file
+ * @brief What one instance tells the others through a row of its own.
+ */
+#pragma once
+
+#include "parsleyvane/ingress/crashledger.h"
+#include "parsleyvane/ingress/versionshift.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace parsleyvane {
+
+/// @brief Evidence of one instance. Its row is written only when there is any.
+struct FleetReport
+{
+    std::vector<CrashReport> crashes;
+    /// @brief For each roll-out with bad answers: the new version's counts and the old one's.
+    std::vector<std::pair<VersionCount, VersionCount>> versions;
+
+    friend bool operator==(const FleetReport &, const FleetReport &) = default;
+};
+
+/// @brief The report as JSON text. Complexity: linear.
+std::string serialise(const FleetReport &report);
+/// @brief Reads what serialise() wrote. @param reason BadPeerData when it makes no sense
+std::optional<FleetReport> parseFleetReport(const std::string &text, LastReason &reason);
+
+} // namespace parsleyvane
--- /dev/null
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -0,0 +1,157 @@
+/**
+ * @file
+ * @brief Moves a service's traffic to a new version by the operator's order, and backs out of a bad one.
+ */
+#pragma once
+
+#include "parsleyvane/core/ids.h"
+#include "parsleyvane/rollout/versionjudge.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace parsleyvane {
+
+/// @brief The operator's order.
+struct RolloutOrder
+{
+    ServiceName service;
+    VersionName to;
+    Milliseconds duration{0};
+    std::uint64_t number = 0; ///< rises with each order
+
+    friend bool operator==(const RolloutOrder &, const RolloutOrder &) = default;
+};
+
+/// @brief How far a roll-out is.
+enum class RolloutState { Running, Completed, RolledBack };
+
+/// @brief What the instances have agreed on, in one row.
+struct RolloutStatus
+{
+    ServiceName service;
+    VersionName to;
+    RolloutState state = RolloutState::Running;
+    std::uint64_t order = 0; ///< number of the order it belongs to
+    Milliseconds startedAt{0}; ///< on the store's clock
+
+    friend bool operator==(const RolloutStatus &, const RolloutStatus &) = default;
+};
+
+/// @brief Answers of one version at one instance since its start; they only rise.
+struct VersionCount
+{
+    ServiceName service;
+    VersionName version;
+    std::uint64_t served = 0;
+    std::uint64_t bad = 0;
+
+    friend bool operator==(const VersionCount &, const VersionCount &) = default;
+};
+
+/// @brief Tunable values of VersionShift.
+struct ShiftLimits
+{
+    /// @brief Most of the service's requests that a bad version may get; set from the deployment's bound.
+    double exposeShare = 0.15;
+    /// Part of the allowed share that the new version gets while it is watched.
+    double watchedShare = 0.6;
+    /// Sessions may change versions from half of the order's time on; a little later, since clocks are read late.
+    double rampBegin = 0.53;
+    double rampEnd = 0.68; ///< all requests go to the new version from here on
+    double settle = 0.88; ///< requests at the old version have ended, and completion is written
+    Milliseconds sessionLife{5000}; ///< requests of a session that follow each other within this belong together
+    /// @brief A candidate's answer this many times slower than the predecessor's usual one is a bad answer.
+    double slowFactor = 3;
+    Milliseconds slowSlack{30}; ///< and by at least this much, so that noise at small times does not count
+};
+
+/**
+ * @brief One service's versions. Complexity: logarithmic in the sessions kept.
+ *
+ * A part of the requests goes to the new version while its answers are compared with the old one's; from the middle of
+ * the order's time on the part rises to all of them. Sessions are placed by a hash of their name against that part,
+ * which only rises, so that no instance moves a session back.
+ */
+class VersionShift
+{
+public:
+    // constructors
+    explicit VersionShift(ShiftLimits limits = {});
+
+    // modifiers
+    void setLimits(const ShiftLimits &newLimits);
+    /// @brief The operator gave an order. @return whether it is a new one
+    bool onOrder(const RolloutOrder &newOrder);
+    /// @brief The agreed row. @param startedAt its start on this instance's clock
+    void onStatus(const RolloutStatus &newStatus, TimePoint startedAt);
+    /// @brief Chooses the version for a request and remembers it for the session.
+    bool takesCandidate(const std::string &session, double draw, TimePoint now);
+    /// @brief An answer was given. @param candidate by the new version @param good whether it is what was asked for
+    void onAnswer(bool candidate, bool good);
+    /// @brief How long an answer took per step of its work. @return whether that is too slow for the new version
+    bool isSlow(bool candidate, const std::string &kind, Milliseconds took);
+    /// @brief Counts of another instance, the new version's and the old one's.
+    void merge(const InstanceId &from, const VersionCount &candidate, const VersionCount &predecessor);
+    /// @brief Looks at all counts; once the version is found bad, it stays so.
+    /// @return why the version is bad, at the moment that this is found
+    std::optional<std::string> judge();
+    /// @brief Forgets sessions that are over. Complexity: linear.
+    void expire(TimePoint now);
+
+    // observers
+    const std::optional<RolloutOrder> &order() const noexcept
+    {
+        return this->current;
+    }
+    /// @brief The agreed state of the current order; empty before anyone wrote it.
+    std::optional<RolloutState> state() const noexcept;
+    /// @brief Whether requests may go to this version at all.
+    bool allows(const VersionName &version, bool candidate) const;
+    /// @brief Whether the version was found bad here.
+    bool isBad() const noexcept
+    {
+        return this->bad;
+    }
+    /// @brief Part of the order's time that has passed, from 0; empty when no order runs.
+    std::optional<double> progress(TimePoint now) const;
+    /// @brief Whether completion may be written now.
+    bool maySettle(TimePoint now) const;
+    /// @brief Whether this instance has evidence worth telling the others.
+    bool hasEvidence() const noexcept
+    {
+        return this->ownCandidate.bad >= 2 && this->current.has_value();
+    }
+    /// @brief This instance's counts: the new version's and the old one's.
+    std::pair<VersionCount, VersionCount> counts() const;
+    const ShiftLimits &shiftLimits() const noexcept
+    {
+        return this->limits;
+    }
+
+private:
+    struct Seen
+    {
+        bool candidate = false;
+        TimePoint at{};
+    };
+
+    double share(TimePoint now) const;
+
+    ShiftLimits limits;
+    std::optional<RolloutOrder> current;
+    std::optional<RolloutStatus> status;
+    TimePoint startedAt{};
+    std::map<std::string, Seen> sessions;
+    AnswerCounts ownCandidate;
+    AnswerCounts ownPredecessor;
+    std::map<InstanceId, std::pair<AnswerCounts, AnswerCounts>> others;
+    std::map<std::string, double> usual; ///< the predecessor's usual time, by kind of work
+    VersionJudge versionJudge;
+    bool bad = false;
+};
+
+} // namespace parsleyvane
--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -40,13 +40,15 @@
     /// @brief For sending the request and for each read without progress.
     Milliseconds progress{5000};
     std::size_t bodyBytes = 16U << 20U;
+    /// @brief A peer that acknowledges no bytes for this long is gone; 0 leaves it to the system.
+    Milliseconds unacknowledged{0};
 };
 
 /**
- * @brief One call on a connection of its own.
+ * @brief One connection, and the call under way on it.
  *
- * A connection is never reused: a request that fails on a fresh one was not mixed up with the end of another, which
- * keeps "not run" provable.
+ * Another call may follow on the same connection once the answer before was read to its end and reusable() holds. A
+ * request that may not be repeated takes a fresh one, which keeps "not run" provable.
  *
  * @code
  * HttpCall call(executor, "engine-1", endpoint, limits);
@@ -80,6 +82,10 @@
      * @return the bytes; an empty text at the body's proper end; nothing when the connection was cut
      */
     boost::asio::awaitable<std::optional<std::string>> readSome(LastReason &reason);
+    /// @brief Sets the limit for sending and for each read from now on.
+    void setProgressLimit(Milliseconds limit) noexcept;
+    /// @brief Pauses the time limits between two calls.
+    void rest();
     /// @brief Closes the connection at once; a read under way ends with UpstreamLost. Safe to call twice.
     void close() noexcept;
 
@@ -94,6 +100,15 @@
     {
         return this->reached;
     }
+    /// @brief Whether the answer was read to its end, nothing followed it, and the peer keeps the connection.
+    bool reusable() const;
+    /// @brief Whether a resting connection is open and silent, as far as this side knows.
+    bool isOpen();
+    /// @brief Whether the connection carried a call before this one.
+    bool isReused() const noexcept
+    {
+        return this->calls > 1;
+    }
     /// @brief The response's head. @pre readHead() succeeded
     const boost::beast::http::response_header<> &head() const
     {
@@ -106,6 +121,7 @@
     Failure failureOf(const boost::system::error_code &error) const;
     void allow(Milliseconds limit);
     void watch();
+    void setSocketOptions();
 
     std::string peer;
     boost::asio::ip::tcp::endpoint endpoint;
@@ -117,7 +133,10 @@
     /// One timer a call that looks at the deadline now and then; one a read would cost more than the read.
     boost::asio::steady_timer watchdog;
     boost::asio::steady_timer::time_point deadline;
+    std::chrono::steady_clock::time_point armedFor;
+    bool watching = false;
     bool expired = false;
+    unsigned calls = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::vector<char> space;
 };
--- a/include/parsleyvane/net/httpserver.h
+++ b/include/parsleyvane/net/httpserver.h
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -27,6 +28,7 @@
     std::size_t connections = 4096;
     Milliseconds requestTimeout{10000}; ///< to receive a whole request
     Milliseconds writeTimeout{30000}; ///< for a write without progress
+    Milliseconds idleTimeout{10000}; ///< for a connection on which no request is under way
 };
 
 /// @brief A header of a response.
@@ -44,6 +46,9 @@
 public:
     // constructors
     Exchange(boost::beast::tcp_stream &stream, HttpRequest request, Milliseconds writeTimeout);
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+    ~Exchange();
 
     // observers
     const HttpRequest &request() const noexcept
@@ -60,7 +65,7 @@
     /// @brief Whether the connection can carry another request.
     bool reusable() const noexcept
     {
-        return this->whole && this->received.keep_alive();
+        return this->whole && !this->closing && this->received.keep_alive();
     }
 
     // modifiers
@@ -76,16 +81,34 @@
     boost::asio::awaitable<bool> write(std::string piece);
     /// @brief Ends a streamed answer properly.
     boost::asio::awaitable<bool> endStream();
+    /// @brief Answers with an upstream's status, headers and whole body, unchanged.
+    boost::asio::awaitable<bool> relay(int status, std::vector<HttpHeader> head, std::string body);
+    /// @brief Begins to answer with an upstream's status and headers, and the first piece of a body to come.
+    boost::asio::awaitable<bool> beginRelay(int status, std::vector<HttpHeader> head, std::string piece);
+    /// @brief The connection ends after this answer.
+    void closeAfterwards() noexcept
+    {
+        this->closing = true;
+    }
+    /// @brief Breaks the connection, so that what was answered so far cannot look complete.
+    void abort();
+    /// @brief Calls once when the caller closes the connection, until the exchange ends.
+    void watchCaller(std::function<void()> gone);
 
 private:
+    struct Watch;
+
     boost::asio::awaitable<bool> writeRaw(std::string bytes);
+    void stopWatching();
 
     boost::beast::tcp_stream &stream;
     HttpRequest received;
     Milliseconds writeTimeout;
     std::vector<HttpHeader> headers;
+    std::shared_ptr<Watch> watch;
     bool begun = false;
     bool whole = false;
+    bool closing = false;
 };
 
 /// @brief Answers one exchange; runs as a coroutine for each request.
@@ -108,6 +131,8 @@
     // modifiers
     /// @brief Listens. @param reason InvalidSetting when the address cannot be used
     bool listen(const boost::asio::ip::tcp::endpoint &endpoint, LastReason &reason);
+    /// @brief Bounds for requests from now on.
+    void setLimits(const ServerLimits &newLimits);
     /// @brief Takes no new connections; requests under way go on, and their connections close after them.
     void stopAccepting();
     /// @brief Closes the connections on which no request has begun to arrive.
--- a/include/parsleyvane/net/metrics.h
+++ b/include/parsleyvane/net/metrics.h
@@ -11,6 +11,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
 
@@ -30,6 +31,8 @@
     void countRequest(const AccountId &account, const TaskName &task, std::string_view outcome);
     /// @brief Counts an attempt at an upstream. @param outcome "ok" or an error's name
     void countAttempt(const UpstreamId &upstream, std::string_view outcome);
+    /// @brief How long a request took, from its last byte to the end of its answer.
+    void observeRequest(Milliseconds took);
     /// @brief Counts generated tokens passed on.
     void countTokens(Tokens tokens);
     /// @brief Counts an event that has no labels of its own, such as "preempted" or "bill_handed_over".
@@ -47,6 +50,7 @@
     prometheus::Family<prometheus::Counter> &attempts;
     prometheus::Family<prometheus::Counter> &events;
     prometheus::Counter &tokens;
+    prometheus::Histogram &requestSeconds;
     prometheus::Family<prometheus::Gauge> &gauges;
 };
 
--- /dev/null
+++ b/src/core/ingress/eventsplitter.cpp
@@ -0,0 +1,71 @@
+#include "parsleyvane/ingress/eventsplitter.h"
+
+#include <charconv>
+
+namespace parsleyvane {
+
+namespace {
+
+/// The event's identifier, when it has a line for it and that is a number.
+std::optional<std::uint64_t> eventId(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    for (std::size_t line = 0; line < event.size();) {
+        std::size_t end = event.find('\n', line);
+        end = end == std::string_view::npos ? event.size() : end;
+        std::string_view text = event.substr(line, end - line);
+        line = end + 1;
+        if (!text.starts_with(field)) {
+            continue;
+        }
+        text.remove_prefix(field.size());
+        while (text.starts_with(' ')) {
+            text.remove_prefix(1);
+        }
+        std::uint64_t id = 0;
+        const auto [last, error] = std::from_chars(text.data(), text.data() + text.size(), id);
+        if (error == std::errc()) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+/// Where the event at the start of the text ends, after its blank line.
+std::size_t eventEnd(std::string_view text)
+{
+    for (std::size_t at = text.find('\n'); at != std::string_view::npos; at = text.find('\n', at + 1)) {
+        if (at + 1 < text.size() && text[at + 1] == '\n') {
+            return at + 2;
+        }
+        if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n') {
+            return at + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+} // namespace
+
+void EventSplitter::feed(std::string_view bytes)
+{
+    if (this->begin > 0) {
+        this->buffer.erase(0, this->begin);
+        this->begin = 0;
+    }
+    this->buffer.append(bytes);
+}
+
+std::optional<RawEvent> EventSplitter::next()
+{
+    const std::string_view rest = std::string_view(this->buffer).substr(this->begin);
+    const std::size_t end = eventEnd(rest);
+    if (end == std::string_view::npos) {
+        return std::nullopt;
+    }
+    this->begin += end;
+    const std::string_view event = rest.substr(0, end);
+    return RawEvent{.bytes = event, .id = eventId(event)};
+}
+
+} // namespace parsleyvane
--- /dev/null
+++ b/src/core/ingress/repeatbudget.cpp
@@ -0,0 +1,72 @@
+#include "parsleyvane/ingress/repeatbudget.h"
+
+#include <algorithm>
+
+namespace parsleyvane {
+
+namespace {
+
+/// Part of the allowed ratio that is used; the rest covers windows that slide across this one.
+constexpr double usedRatio = 0.8;
+/// Part of the fleet's slack for one instance: with up to 20 instances the sum stays within it.
+constexpr double ownSlack = 0.05;
+
+} // namespace
+
+RepeatBudget::RepeatBudget(RepeatBounds bounds)
+    : bounds(bounds)
+{
+}
+
+void RepeatBudget::setBounds(const RepeatBounds &newBounds)
+{
+    this->bounds = newBounds;
+}
+
+void RepeatBudget::onRequest(const ServiceName &service, TimePoint now)
+{
+    ++this->current(service, now).requests;
+}
+
+bool RepeatBudget::take(const ServiceName &service, TimePoint now)
+{
+    if (this->left(service, now) < 1) {
+        return false;
+    }
+    ++this->current(service, now).repeats;
+    return true;
+}
+
+double RepeatBudget::left(const ServiceName &service, TimePoint now) const
+{
+    double allowed = this->bounds.slack * ownSlack;
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return allowed;
+    }
+    const std::int64_t newest = this->sliceNumber(now);
+    for (const Slice &slice : found->second) {
+        if (slice.number > newest - static_cast<std::int64_t>(slices)) {
+            allowed += this->bounds.ratio * usedRatio * slice.requests - slice.repeats;
+        }
+    }
+    return allowed;
+}
+
+std::int64_t RepeatBudget::sliceNumber(TimePoint now) const
+{
+    const auto length = std::max<std::int64_t>(1, this->bounds.window.count() / static_cast<std::int64_t>(slices));
+    return now.time_since_epoch().count() / length;
+}
+
+RepeatBudget::Slice &RepeatBudget::current(const ServiceName &service, TimePoint now)
+{
+    const std::int64_t number = this->sliceNumber(now);
+    Slice &slice = this->services[service].at(static_cast<std::size_t>(number) % slices);
+    if (slice.number != number) {
+        slice = Slice{.number = number};
+    }
+    return slice;
+}
+
+} // namespace parsleyvane
--- /dev/null
+++ b/src/core/ingress/routetable.cpp
@@ -0,0 +1,86 @@
+#include "parsleyvane/ingress/routetable.h"
+
+namespace parsleyvane {
+
+RouteTable::RouteTable(Revision revision)
+    : number(revision)
+{
+}
+
+void RouteTable::addRoute(RouteRule route)
+{
+    if (route.services.empty()) {
+        return;
+    }
+    ++this->routes;
+    std::string prefix = route.prefix;
+    this->hosts[route.host].insert_or_assign(std::move(prefix), std::move(route));
+}
+
+void RouteTable::addService(ServiceRule service)
+{
+    ServiceName name = service.name;
+    this->services.insert_or_assign(std::move(name), std::move(service));
+}
+
+void RouteTable::addKey(const std::string &key, const TenantRule &tenant)
+{
+    this->tenants.insert_or_assign(key, tenant);
+}
+
+void RouteTable::requireKeys()
+{
+    this->needsKeys = true;
+}
+
+void RouteTable::setLimits(const ClientLimits &limits)
+{
+    this->clientLimits = limits;
+}
+
+const RouteRule *RouteTable::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto prefixes = this->hosts.find(std::string(host));
+    if (prefixes == this->hosts.end()) {
+        return nullptr;
+    }
+    // Prefixes end with a slash, so only the path's own slashes can end one.
+    for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;
+         slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1)) {
+        const auto found = prefixes->second.find(std::string(path.substr(0, slash + 1)));
+        if (found != prefixes->second.end()) {
+            return &found->second;
+        }
+    }
+    return nullptr;
+}
+
+const ServiceName &RouteTable::chooseService(const RouteRule &route, double draw)
+{
+    double total = 0;
+    for (const ServiceShare &share : route.services) {
+        total += share.weight;
+    }
+    double left = draw * total;
+    for (const ServiceShare &share : route.services) {
+        if (left < share.weight) {
+            return share.service;
+        }
+        left -= share.weight;
+    }
+    return route.services.front().service;
+}
+
+const ServiceRule *RouteTable::findService(const ServiceName &name) const
+{
+    const auto found = this->services.find(name);
+    return found != this->services.end() ? &found->second : nullptr;
+}
+
+const TenantRule *RouteTable::findTenant(const std::string &key) const
+{
+    const auto found = this->tenants.find(key);
+    return found != this->tenants.end() ? &found->second : nullptr;
+}
+
+} // namespace parsleyvane
--- /dev/null
+++ b/src/core/ingress/upstreamlist.cpp
@@ -0,0 +1,185 @@
+#include "parsleyvane/ingress/upstreamlist.h"
+
+#include <algorithm>
+#include <set>
+
+namespace parsleyvane {
+
+UpstreamList::UpstreamList(UpstreamListLimits limits)
+    : limits(limits)
+{
+}
+
+std::string UpstreamList::update(const UpstreamEntry &entry, TimePoint now)
+{
+    const auto [found, isNew] = this->upstreams.try_emplace(entry.id);
+    RegisteredUpstream &upstream = found->second;
+    upstream.missingSince.reset();
+    if (!isNew && upstream.entry == entry) {
+        return {};
+    }
+    const bool reborn = !isNew && upstream.entry.bornAt != entry.bornAt;
+    const bool moved = !isNew && upstream.entry.address != entry.address;
+    if (reborn || moved) {
+        upstream.left = false;
+        upstream.avoidUntil = TimePoint();
+        upstream.backoff = Milliseconds(0);
+        upstream.failureRate = 0;
+    }
+    if (entry.draining != upstream.entry.draining && !entry.draining) {
+        upstream.left = false;
+    }
+    upstream.entry = entry;
+    static_cast<void>(now);
+    if (isNew || reborn) {
+        return entry.draining ? "draining" : "ready";
+    }
+    return entry.draining ? "draining" : "changed";
+}
+
+std::string UpstreamList::remove(const UpstreamId &id, TimePoint now)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end() || found->second.missingSince) {
+        return {};
+    }
+    const bool mayReturn = this->storeAway || now - this->storeReturned < this->limits.lapseGrace;
+    if (mayReturn && !found->second.entry.draining) {
+        found->second.missingSince = now;
+        return "lapsed";
+    }
+    this->upstreams.erase(found);
+    return "removed";
+}
+
+std::vector<std::string> UpstreamList::replace(const std::vector<UpstreamEntry> &entries, TimePoint now)
+{
+    std::vector<std::string> changes;
+    std::set<UpstreamId> listed;
+    for (const UpstreamEntry &entry : entries) {
+        listed.insert(entry.id);
+        if (const std::string change = this->update(entry, now); !change.empty()) {
+            changes.push_back(entry.id.str() + " " + change);
+        }
+    }
+    std::vector<UpstreamId> gone;
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (!listed.contains(id)) {
+            gone.push_back(id);
+        }
+    }
+    for (const UpstreamId &id : gone) {
+        if (const std::string change = this->remove(id, now); !change.empty()) {
+            changes.push_back(id.str() + " " + change);
+        }
+    }
+    return changes;
+}
+
+void UpstreamList::storeLost()
+{
+    this->storeAway = true;
+}
+
+void UpstreamList::storeRegained(TimePoint now)
+{
+    if (this->storeAway) {
+        this->storeAway = false;
+        this->storeReturned = now;
+    }
+}
+
+std::vector<UpstreamId> UpstreamList::expire(TimePoint now)
+{
+    std::vector<UpstreamId> gone;
+    if (this->storeAway || now - this->storeReturned < this->limits.lapseGrace) {
+        return gone;
+    }
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream.missingSince) {
+            gone.push_back(id);
+        }
+    }
+    for (const UpstreamId &id : gone) {
+        this->upstreams.erase(id);
+    }
+    return gone;
+}
+
+void UpstreamList::begin(const UpstreamId &id, std::int64_t tokensToRead)
+{
+    const auto found = this->upstreams.find(id);
+    if (found != this->upstreams.end()) {
+        ++found->second.running;
+        found->second.tokensToRead += tokensToRead;
+    }
+}
+
+void UpstreamList::promptRead(const UpstreamId &id, std::int64_t tokensToRead)
+{
+    const auto found = this->upstreams.find(id);
+    if (found != this->upstreams.end()) {
+        found->second.tokensToRead = std::max<std::int64_t>(0, found->second.tokensToRead - tokensToRead);
+    }
+}
+
+void UpstreamList::end(const UpstreamId &id)
+{
+    const auto found = this->upstreams.find(id);
+    if (found != this->upstreams.end() && found->second.running > 0) {
+        --found->second.running;
+    }
+}
+
+void UpstreamList::learn(const UpstreamId &id, UpstreamVerdict verdict, TimePoint now)
+{
+    const auto found = this->upstreams.find(id);
+    if (found == this->upstreams.end()) {
+        return;
+    }
+    RegisteredUpstream &upstream = found->second;
+    const bool bad
+        = verdict == UpstreamVerdict::Failed || verdict == UpstreamVerdict::Lost || verdict == UpstreamVerdict::Silent;
+    upstream.failureRate += this->limits.failureWeight * ((bad ? 1.0 : 0.0) - upstream.failureRate);
+    switch (verdict) {
+    case UpstreamVerdict::Answered:
+        upstream.backoff = Milliseconds(0);
+        upstream.avoidUntil = TimePoint();
+        break;
+    case UpstreamVerdict::Refused:
+        upstream.avoidUntil = std::max(upstream.avoidUntil, now + this->limits.refusedBackoff);
+        break;
+    case UpstreamVerdict::Leaving:
+        upstream.left = true;
+        break;
+    case UpstreamVerdict::Failed:
+        break;
+    case UpstreamVerdict::Unreachable:
+    case UpstreamVerdict::Lost:
+    case UpstreamVerdict::Silent:
+        // Several attempts that die together are one event.
+        if (upstream.avoidUntil <= now) {
+            upstream.backoff = std::clamp(upstream.backoff * 2, this->limits.firstBackoff, this->limits.longestBackoff);
+            upstream.avoidUntil = now + upstream.backoff;
+        }
+        break;
+    }
+}
+
+const RegisteredUpstream *UpstreamList::find(const UpstreamId &id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found != this->upstreams.end() ? &found->second : nullptr;
+}
+
+void UpstreamList::forEachUsable(const ServiceName &service,
+                                 const std::function<void(const RegisteredUpstream &)> &visit) const
+{
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream.entry.service == service && !upstream.entry.draining && !upstream.left) {
+            visit(upstream);
+        }
+    }
+}
+
+} // namespace parsleyvane
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -63,6 +63,25 @@
     return std::all_of(target.begin(), target.end(), isAddressWithPort);
 }
 
+/// Seconds, with fractions, as the deployment gives them.
+bool storeSeconds(Milliseconds &target, const std::string &value)
+{
+    constexpr double msPerSecond = 1000;
+    const auto seconds = readNumber<double>(value, 0.0, static_cast<double>(mostWait.count()) / msPerSecond);
+    target = Milliseconds(static_cast<std::int64_t>(seconds.value_or(0) * msPerSecond));
+    return seconds.has_value();
+}
+
+bool storeFront(FrontKind &target, const std::string &value)
+{
+    target = value == "ingress" ? FrontKind::Ingress : FrontKind::Chat;
+    return value == "ingress" || value == "chat";
+}
+
+constexpr double mostShare = 1;
+constexpr double mostRatio = 10;
+constexpr double mostSlack = 1000000;
+constexpr std::string_view secondsRule = "seconds from 0 to 600";
 constexpr std::string_view identifierRule = "1 to 48 letters, digits, '.', '-' or '_'";
 constexpr std::string_view addressRule = "IP:PORT with a port from 1 to 65535";
 constexpr std::string_view waitRule = "whole milliseconds from 1 to 600000";
@@ -78,6 +97,10 @@
          [](InstanceSettings &settings, const std::string &value) {
              return storeId(settings.zone, value);
          }},
+    Rule{"instance", "front", false, "chat or ingress",
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeFront(settings.front, value);
+         }},
     Rule{"listen", "callers", true, addressRule,
          [](InstanceSettings &settings, const std::string &value) {
              return storeAddress(settings.listen.callers, value);
@@ -126,6 +149,30 @@
          [](InstanceSettings &settings, const std::string &value) {
              return storeWait(settings.limits.billHold, value, noWait);
          }},
+    Rule{"bounds", "grace-s", false, secondsRule,
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeSeconds(settings.bounds.grace, value);
+         }},
+    Rule{"bounds", "repeat-ratio", false, "a number from 0 to 10",
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeNumber(settings.bounds.repeatRatio, value, 0.0, mostRatio);
+         }},
+    Rule{"bounds", "repeat-window-s", false, secondsRule,
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeSeconds(settings.bounds.repeatWindow, value);
+         }},
+    Rule{"bounds", "repeat-slack", false, "a number from 0 to 1000000",
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeNumber(settings.bounds.repeatSlack, value, 0.0, mostSlack);
+         }},
+    Rule{"bounds", "expose-share", false, "a number from 0 to 1",
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeNumber(settings.bounds.exposeShare, value, 0.0, mostShare);
+         }},
+    Rule{"bounds", "session-s", false, secondsRule,
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeSeconds(settings.bounds.sessionLife, value);
+         }},
 };
 
 const Rule *findRule(const std::string &section, const std::string &key)
@@ -143,7 +190,7 @@
             keys += (keys.empty() ? "" : ", ") + std::string(rule.key);
         }
     }
-    return keys.empty() ? "the sections instance, listen, platform, peers, limits" : "the keys " + keys;
+    return keys.empty() ? "the sections instance, listen, platform, peers, limits, bounds" : "the keys " + keys;
 }
 
 bool sameSetting(const IniEntry &a, const IniEntry &b)
--- a/src/core/textcodec.cpp
+++ b/src/core/textcodec.cpp
@@ -1,5 +1,7 @@
 #include "parsleyvane/core/textcodec.h"
 
+#include <openssl/evp.h>
+
 namespace parsleyvane {
 
 namespace {
@@ -62,4 +64,36 @@
     return out;
 }
 
+std::string base64Encode(std::string_view bytes)
+{
+    constexpr std::size_t group = 3;
+    constexpr std::size_t encodedGroup = 4;
+    // EVP_EncodeBlock() ends its text with a zero byte.
+    std::string text((bytes.size() + group - 1) / group * encodedGroup + 1, '\0');
+    const int length
+        = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                          reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+std::optional<std::string> base64Decode(std::string_view text)
+{
+    constexpr std::size_t encodedGroup = 4;
+    if (text.size() % encodedGroup != 0) {
+        return std::nullopt;
+    }
+    std::string bytes(text.size(), '\0');
+    const int length
+        = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                          reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
+    if (length < 0) {
+        return std::nullopt;
+    }
+    // EVP_DecodeBlock() counts the padding as bytes.
+    const std::size_t padding = text.ends_with("==") ? 2 : (text.ends_with("=") ? 1 : 0);
+    bytes.resize(static_cast<std::size_t>(length) - padding);
+    return bytes;
+}
+
 } // namespace parsleyvane
--- /dev/null
+++ b/src/net/forward/ingressinstance.cpp
@@ -0,0 +1,241 @@
+#include "parsleyvane/forward/ingressinstance.h"
+
+#include "parsleyvane/core/clock.h"
+#include "parsleyvane/forward/forwardedrequest.h"
+#include "parsleyvane/net/endpoint.h"
+#include "parsleyvane/net/sleep.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace parsleyvane {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+const std::string textType = "text/plain; version=0.0.4";
+
+/// The balancer asks once a second and takes an instance out after two misses; it may then still be sending.
+constexpr Milliseconds lingerTime{2900};
+/// Left of the grace time when answers under way are broken off, so that clients see the end of their connection.
+constexpr Milliseconds stopMargin{450};
+constexpr Milliseconds finishPoll{20};
+/// How often the settings file is compared with what was read from it.
+constexpr Milliseconds settingsPoll{1000};
+/// Beyond the head's own limit, for a body that is sent slowly.
+constexpr Milliseconds bodyTimeout{10000};
+/// Idle connections are closed this many times later than the operator allows clients to use them.
+constexpr int idleFactor = 2;
+constexpr std::size_t operatorConnections = 64;
+
+/// The settings were checked, so the address is known to be one.
+asio::ip::tcp::endpoint checkedEndpoint(const std::string &address)
+{
+    LastReason reason;
+    return parseEndpoint(address, reason).value_or(asio::ip::tcp::endpoint());
+}
+
+ServerLimits operatorLimits(const LimitSettings &limits)
+{
+    return {.headBytes = static_cast<std::uint32_t>(limits.headBytes),
+            .bodyBytes = limits.bodyBytes,
+            .connections = operatorConnections,
+            .requestTimeout = limits.requestTimeout,
+            .idleTimeout = limits.requestTimeout};
+}
+
+} // namespace
+
+IngressInstance::IngressInstance(const InstanceSettings &settings, const PlatformFactory &makePlatform,
+                                 SettingsReader reader)
+    : settings(settings)
+    , reader(std::move(reader))
+    , log(this->io)
+    , platform(makePlatform(this->io))
+    , context{.io = this->io,
+              .platform = *this->platform,
+              .metrics = this->metrics,
+              .log = this->log,
+              .zone = settings.zone}
+    , sync(this->context, settings.id)
+    , clients(this->io, ServerLimits{.connections = settings.limits.connections},
+              [this](Exchange &exchange) -> asio::awaitable<void> {
+                  ForwardedRequest request(this->context, exchange);
+                  co_await request.run();
+              })
+    , operators(this->io, operatorLimits(settings.limits),
+                [this](Exchange &exchange) { return this->handleOperator(exchange); })
+    , shutdown(static_cast<ShutdownActions &>(*this))
+{
+    this->applyBounds();
+    this->applyConfiguration();
+}
+
+bool IngressInstance::start(LastReason &reason)
+{
+    this->log.line("start",
+                   {{"instance", this->settings.id.str()},
+                    {"zone", this->settings.zone.str()},
+                    {"version", PARSLEYVANE_VERSION},
+                    {"store", this->settings.platformAddress}});
+    this->shutdown.start();
+    this->awaitStop();
+    this->awaitReload();
+    this->sync.start([this]() { this->applyConfiguration(); });
+    asio::co_spawn(this->io, this->watchSettings(), asio::detached);
+    return this->operators.listen(checkedEndpoint(this->settings.listen.operators), reason)
+        && this->clients.listen(checkedEndpoint(this->settings.listen.callers), reason);
+}
+
+void IngressInstance::run()
+{
+    this->io.run();
+}
+
+void IngressInstance::awaitStop()
+{
+    this->stopSignals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            this->shutdown.process_event(StopRequested());
+        }
+    });
+}
+
+void IngressInstance::awaitReload()
+{
+    this->reloadSignals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            this->reload("signal");
+            this->awaitReload();
+        }
+    });
+}
+
+asio::awaitable<void> IngressInstance::watchSettings()
+{
+    while (true) {
+        co_await sleepFor(settingsPoll);
+        this->reload("file");
+    }
+}
+
+void IngressInstance::reload(const char *cause)
+{
+    const auto read = this->reader();
+    if (!read) {
+        this->metrics.countEvent("settings_invalid");
+        this->log.line("reload", {{"cause", cause}, {"outcome", "kept the settings before: the new ones are invalid"}});
+        return;
+    }
+    const bool same = *read == this->settings;
+    if (same && std::string_view(cause) == "file") {
+        return;
+    }
+    this->settings.bounds = read->bounds;
+    this->settings.limits = read->limits;
+    this->applyBounds();
+    this->applyConfiguration();
+    this->log.line("reload", {{"cause", cause}, {"outcome", same ? "unchanged" : "applied"}});
+    this->settings = *read;
+}
+
+void IngressInstance::applyBounds()
+{
+    const BoundSettings &bounds = this->settings.bounds;
+    this->context.budget.setBounds(
+        {.ratio = bounds.repeatRatio, .window = bounds.repeatWindow, .slack = bounds.repeatSlack});
+    this->sync.setShiftLimits({.exposeShare = bounds.exposeShare, .sessionLife = bounds.sessionLife});
+}
+
+void IngressInstance::applyConfiguration()
+{
+    const auto &table = this->context.beliefs.table;
+    const ClientLimits limits = table ? table->limits() : ClientLimits();
+    this->clients.setLimits({.headBytes = limits.headBytes,
+                             .bodyBytes = limits.bodyBytes,
+                             .connections = this->settings.limits.connections,
+                             .requestTimeout = limits.headTimeout + bodyTimeout,
+                             .idleTimeout = limits.idleTimeout * idleFactor});
+}
+
+bool IngressInstance::isReady() const
+{
+    return this->context.beliefs.table && this->context.beliefs.upstreamsKnown
+        && this->context.phase <= ForwardPhase::Serving;
+}
+
+asio::awaitable<void> IngressInstance::handleOperator(Exchange &exchange)
+{
+    const std::string target(exchange.request().target());
+    if (target == "/metrics") {
+        this->metrics.setGauge("in_flight", static_cast<double>(this->context.inFlight));
+        this->metrics.setGauge("upstreams", static_cast<double>(this->context.beliefs.upstreams.size()));
+        this->metrics.setGauge("log_lines_dropped", static_cast<double>(this->log.dropped()));
+        std::string body = this->metrics.text();
+        co_await exchange.respond(statusOk, textType, std::move(body));
+        co_return;
+    }
+    if (target != "/ready") {
+        co_await exchange.respond(statusNotFound, textType, "no such resource\n");
+        co_return;
+    }
+    const bool ready = this->isReady();
+    if (ready != this->wasReady) {
+        this->wasReady = ready;
+        this->log.line("ready", {{"ready", ready ? "true" : "false"}});
+    }
+    co_await exchange.respond(ready ? statusOk : statusUnavailable, textType, ready ? "ready\n" : "not ready\n");
+}
+
+void IngressInstance::refuseReadiness()
+{
+    this->stopAskedAt = bootTime();
+    this->context.phase = ForwardPhase::Lingering;
+    this->log.line("stop", {{"phase", "lingering"}, {"in_flight", static_cast<std::int64_t>(this->context.inFlight)}});
+    asio::co_spawn(this->io, this->linger(), asio::detached);
+}
+
+asio::awaitable<void> IngressInstance::linger()
+{
+    co_await sleepFor(lingerTime);
+    this->shutdown.process_event(LingerOver());
+}
+
+void IngressInstance::refuseRequests()
+{
+    this->context.phase = ForwardPhase::Finishing;
+    this->log.line("stop", {{"phase", "finishing"}, {"in_flight", static_cast<std::int64_t>(this->context.inFlight)}});
+    asio::co_spawn(this->io, this->waitForRequests(), asio::detached);
+}
+
+asio::awaitable<void> IngressInstance::waitForRequests()
+{
+    const TimePoint last = this->stopAskedAt + std::max(this->settings.bounds.grace - stopMargin, lingerTime);
+    while (this->context.inFlight > 0 && bootTime() < last) {
+        co_await sleepFor(finishPoll);
+    }
+    this->shutdown.process_event(RequestsFinished());
+}
+
+void IngressInstance::flushBills()
+{
+    // This front bills nothing: the platform does.
+    asio::post(this->io, [this]() { this->shutdown.process_event(BillsFlushed()); });
+}
+
+void IngressInstance::leave()
+{
+    this->log.line("stop",
+                   {{"phase", "stopped"},
+                    {"broken_off", static_cast<std::int64_t>(this->context.inFlight)},
+                    {"ms", (bootTime() - this->stopAskedAt).count()}});
+    this->log.flush();
+    this->io.stop();
+}
+
+} // namespace parsleyvane
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace parsleyvane {
 
@@ -34,14 +36,19 @@
 void HttpCall::allow(Milliseconds limit)
 {
     this->deadline = std::chrono::steady_clock::now() + limit;
+    if (!this->watching || this->deadline < this->armedFor) {
+        this->watch();
+    }
 }
 
 void HttpCall::watch()
 {
+    this->watching = true;
+    this->armedFor = this->deadline;
     this->watchdog.expires_at(this->deadline);
     this->watchdog.async_wait([this, alive = this->alive](const boost::system::error_code &error) {
         // The call may have ended between the timer's expiry and this handler.
-        if (error || !*alive) {
+        if (error || !*alive || !this->watching) {
             return;
         }
         if (std::chrono::steady_clock::now() < this->deadline) {
@@ -58,21 +65,66 @@
     boost::system::error_code error;
     this->reached.step = Step::Connect;
     this->allow(this->limits.connect);
-    this->watch();
     co_await this->socket.async_connect(this->endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         reason.fail(this->failureOf(error));
         co_return false;
     }
+    this->setSocketOptions();
+    co_return true;
+}
+
+void HttpCall::setSocketOptions()
+{
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using KeepCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    constexpr int keepSeconds = 1;
+    constexpr int keepProbes = 2;
     boost::system::error_code ignored;
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    co_return true;
+    if (this->limits.unacknowledged.count() > 0) {
+        this->socket.set_option(UserTimeout(static_cast<int>(this->limits.unacknowledged.count())), ignored);
+        this->socket.set_option(asio::socket_base::keep_alive(true), ignored);
+        this->socket.set_option(KeepIdle(keepSeconds), ignored);
+        this->socket.set_option(KeepInterval(keepSeconds), ignored);
+        this->socket.set_option(KeepCount(keepProbes), ignored);
+    }
+}
+
+void HttpCall::setProgressLimit(Milliseconds limit) noexcept
+{
+    this->limits.progress = limit;
+}
+
+void HttpCall::rest()
+{
+    this->watching = false;
+    this->watchdog.cancel();
+}
+
+bool HttpCall::reusable() const
+{
+    return this->parser && this->parser->is_done() && this->buffer.size() == 0 && this->parser->get().keep_alive()
+        && !this->parser->get().need_eof();
+}
+
+bool HttpCall::isOpen()
+{
+    if (!this->socket.is_open()) {
+        return false;
+    }
+    char byte = 0;
+    const auto came = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return came < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 asio::awaitable<bool> HttpCall::send(const HttpRequest &request, LastReason &reason)
 {
     boost::system::error_code error;
-    this->reached.step = Step::Send;
+    ++this->calls;
+    this->reached = CallProgress{.step = Step::Send};
     this->allow(this->limits.progress);
     http::serializer<true, http::string_body> serializer(request);
     // The write may fail after the kernel took some of it: from here on, bytes count as sent.
@@ -147,7 +199,7 @@
 {
     boost::system::error_code ignored;
     this->socket.close(ignored);
-    this->watchdog.cancel();
+    this->rest();
 }
 
 Failure HttpCall::failureOf(const boost::system::error_code &error) const
@@ -158,7 +210,7 @@
     failure.runState = connecting ? RunState::NotRun : RunState::Unknown;
     if (connecting) {
         failure.id = ErrorId::ConnectFailed;
-    } else if (this->expired) {
+    } else if (this->expired || error == asio::error::timed_out) {
         failure.id = ErrorId::UpstreamSilent;
     } else if (error.category() == http::make_error_code(http::error::bad_version).category()
                && error != http::error::end_of_stream && error != http::error::partial_message) {
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -28,10 +28,9 @@
     return std::string(http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status))));
 }
 
-std::string headText(int status, const std::string &contentType, const std::vector<HttpHeader> &headers, bool keepAlive)
+std::string headText(int status, const std::vector<HttpHeader> &headers, bool keepAlive)
 {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
-    head.append("Content-Type: ").append(contentType).append("\r\n");
     for (const HttpHeader &header : headers) {
         head.append(header.name).append(": ").append(header.value).append("\r\n");
     }
@@ -39,6 +38,12 @@
     return head;
 }
 
+std::string headText(int status, const std::string &contentType, std::vector<HttpHeader> headers, bool keepAlive)
+{
+    headers.insert(headers.begin(), {"Content-Type", contentType});
+    return headText(status, headers, keepAlive);
+}
+
 /// The body of a chunk in chunked transfer coding (RFC 9112, section 7.1).
 std::string chunkText(const std::string &piece)
 {
@@ -89,6 +94,54 @@
 {
 }
 
+/// Shared with the handler that waits for the caller's end, which may run after the exchange is gone.
+struct Exchange::Watch
+{
+    std::function<void()> gone;
+    bool active = true;
+};
+
+Exchange::~Exchange()
+{
+    this->stopWatching();
+}
+
+void Exchange::watchCaller(std::function<void()> gone)
+{
+    this->watch = std::make_shared<Watch>(Watch{std::move(gone)});
+    auto &socket = this->stream.socket();
+    socket.async_wait(asio::socket_base::wait_read,
+                      [&socket, watch = this->watch](const boost::system::error_code &error) {
+                          if (error || !watch->active) {
+                              return;
+                          }
+                          boost::system::error_code broken;
+                          // Bytes to read are the caller's next request; none is its end.
+                          if (socket.available(broken) == 0 || broken) {
+                              watch->active = false;
+                              watch->gone();
+                          }
+                      });
+}
+
+void Exchange::stopWatching()
+{
+    if (this->watch && this->watch->active) {
+        this->watch->active = false;
+        boost::system::error_code ignored;
+        this->stream.socket().cancel(ignored);
+    }
+}
+
+void Exchange::abort()
+{
+    boost::system::error_code ignored;
+    this->closing = true;
+    this->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    this->stopWatching();
+    this->stream.socket().close(ignored);
+}
+
 std::string Exchange::header(const std::string &name) const
 {
     return std::string(this->received[name]);
@@ -102,7 +155,8 @@
 asio::awaitable<bool> Exchange::respond(int status, std::string contentType, std::string body)
 {
     this->begun = true;
-    std::string bytes = headText(status, contentType, this->headers, this->received.keep_alive());
+    const bool keep = this->received.keep_alive() && !this->closing;
+    std::string bytes = headText(status, contentType, this->headers, keep);
     bytes.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
     this->whole = co_await this->writeRaw(std::move(bytes));
     co_return this->whole;
@@ -122,6 +176,26 @@
     co_return co_await this->respond(httpStatus(failure.id), jsonType, failureJson(failure));
 }
 
+asio::awaitable<bool> Exchange::relay(int status, std::vector<HttpHeader> head, std::string body)
+{
+    this->begun = true;
+    std::string bytes = headText(status, head, this->received.keep_alive() && !this->closing);
+    bytes.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n").append(body);
+    this->whole = co_await this->writeRaw(std::move(bytes));
+    co_return this->whole;
+}
+
+asio::awaitable<bool> Exchange::beginRelay(int status, std::vector<HttpHeader> head, std::string piece)
+{
+    this->begun = true;
+    std::string bytes = headText(status, head, this->received.keep_alive() && !this->closing);
+    bytes.append("Transfer-Encoding: chunked\r\n\r\n");
+    if (!piece.empty()) {
+        bytes.append(chunkText(piece));
+    }
+    co_return co_await this->writeRaw(std::move(bytes));
+}
+
 asio::awaitable<bool> Exchange::beginStream(std::string contentType)
 {
     this->begun = true;
@@ -182,6 +256,11 @@
     return true;
 }
 
+void HttpServer::setLimits(const ServerLimits &newLimits)
+{
+    this->limits = newLimits;
+}
+
 void HttpServer::stopAccepting()
 {
     this->accepting = false;
@@ -232,9 +311,9 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(this->limits.headBytes);
     parser.body_limit(this->limits.bodyBytes);
-    stream.expires_after(this->limits.requestTimeout);
     boost::system::error_code error;
     if (buffer.size() == 0) {
+        stream.expires_after(this->limits.idleTimeout);
         this->idle.insert(&stream);
         const auto space = buffer.prepare(firstReadBytes);
         const std::size_t came
@@ -242,6 +321,7 @@
         this->idle.erase(&stream);
         buffer.commit(came);
     }
+    stream.expires_after(this->limits.requestTimeout);
     if (!error) {
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
@@ -254,6 +334,12 @@
         co_await exchange.respond(receiveFailure(error));
         co_return false;
     }
+    if (exchange.request().count(http::field::transfer_encoding) > 0 && !exchange.request().chunked()) {
+        // A coding that is not understood leaves open where the request ends.
+        co_await exchange.respond(receiveFailure(http::error::bad_transfer_encoding));
+        co_return false;
+    }
+    stream.expires_never();
     co_await this->handler(exchange);
     co_return exchange.reusable();
 }
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -30,7 +30,8 @@
     return {.headBytes = static_cast<std::uint32_t>(limits.headBytes),
             .bodyBytes = limits.bodyBytes,
             .connections = limits.connections,
-            .requestTimeout = limits.requestTimeout};
+            .requestTimeout = limits.requestTimeout,
+            .idleTimeout = limits.requestTimeout};
 }
 
 ServerLimits operatorLimits(const LimitSettings &limits)
--- a/src/net/metrics.cpp
+++ b/src/net/metrics.cpp
@@ -12,6 +12,10 @@
     return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+/// From a plain answer to the longest stream, in seconds.
+const prometheus::Histogram::BucketBoundaries requestBuckets
+    = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 25};
+
 } // namespace
 
 Metrics::Metrics()
@@ -20,6 +24,11 @@
     , attempts(counters(*this->registry, "parsleyvane_attempts_total", "Attempts at upstreams, by outcome"))
     , events(counters(*this->registry, "parsleyvane_events_total", "Other events, by name"))
     , tokens(counters(*this->registry, "parsleyvane_tokens_total", "Generated tokens passed on").Add({}))
+    , requestSeconds(prometheus::BuildHistogram()
+                         .Name("parsleyvane_request_seconds")
+                         .Help("From a request's last byte to the end of its answer")
+                         .Register(*this->registry)
+                         .Add({}, requestBuckets))
     , gauges(prometheus::BuildGauge()
                  .Name("parsleyvane_state")
                  .Help("State of the instance, by name")
@@ -38,6 +47,12 @@
     this->attempts.Add({{"upstream", upstream.str()}, {"outcome", std::string(outcome)}}).Increment();
 }
 
+void Metrics::observeRequest(Milliseconds took)
+{
+    constexpr double msPerSecond = 1000;
+    this->requestSeconds.Observe(static_cast<double>(took.count()) / msPerSecond);
+}
+
 void Metrics::countTokens(Tokens tokens)
 {
     this->tokens.Increment(static_cast<double>(tokens.value()));
