--- a/include/parsleyvane/ingress/sizechoice.h
+++ b/include/parsleyvane/ingress/sizechoice.h
@@ -14,7 +14,7 @@
 /// @brief Tunable values of the choice.
 struct SizeLimits
 {
-    /// @brief A smaller model's answer is taken from this opinion of its own on, 0 to 100.
+    /// @brief A smaller model's answer is taken from this opinion of its own on, 0 to 100; above, it is not asked.
     int leastConfidence = 60;
 };
 
@@ -24,7 +24,7 @@
  *
  * A cascade needs a run for each size it asks, and one more in case an upstream fails.
  */
-std::size_t firstSize(const RouteRule &route, unsigned attemptsLeft) noexcept;
+std::size_t firstSize(const RouteRule &route, unsigned attemptsLeft, const SizeLimits &limits = {}) noexcept;
 
 /**
  * @brief The size to ask instead of taking this answer; empty to take it. Complexity: constant.
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -121,10 +121,7 @@
     /// @brief Whether completion may be written now.
     bool maySettle(TimePoint now) const;
     /// @brief Whether this instance has evidence worth telling the others.
-    bool hasEvidence() const noexcept
-    {
-        return this->ownCandidate.bad >= 2 && this->current.has_value();
-    }
+    bool hasEvidence() const noexcept;
     /// @brief This instance's counts: the new version's and the old one's.
     std::pair<VersionCount, VersionCount> counts() const;
     const ShiftLimits &shiftLimits() const noexcept
--- a/src/core/ingress/sizechoice.cpp
+++ b/src/core/ingress/sizechoice.cpp
@@ -2,10 +2,11 @@
 
 namespace parsleyvane {
 
-std::size_t firstSize(const RouteRule &route, unsigned attemptsLeft) noexcept
+std::size_t firstSize(const RouteRule &route, unsigned attemptsLeft, const SizeLimits &limits) noexcept
 {
     constexpr unsigned cascadeAttempts = 2;
-    if (route.sizes.size() < 2 || attemptsLeft < cascadeAttempts) {
+    constexpr int highestConfidence = 100;
+    if (route.sizes.size() < 2 || attemptsLeft < cascadeAttempts || limits.leastConfidence > highestConfidence) {
         return route.sizes.empty() ? 0 : route.sizes.size() - 1;
     }
     return 0;
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -204,6 +204,15 @@
     return passed && *passed >= this->limits.settle && !this->bad;
 }
 
+bool VersionShift::hasEvidence() const noexcept
+{
+    // A version that fails as seldom as any is not worth a row.
+    constexpr std::uint64_t leastBad = 2;
+    constexpr std::uint64_t usualServed = 25;
+    return this->state() == RolloutState::Running && this->ownCandidate.bad >= leastBad
+        && this->ownCandidate.bad * usualServed >= this->ownCandidate.served;
+}
+
 std::pair<VersionCount, VersionCount> VersionShift::counts() const
 {
     if (!this->current) {
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -42,7 +42,7 @@
 /// A first event later than this part of the objective is better asked for elsewhere.
 constexpr double firstEventPart = 0.75;
 /// A pause longer than this part of its objective means that the upstream hangs.
-constexpr double gapPart = 0.6;
+constexpr double gapPart = 1.0;
 /// A plain answer later than this many times the objective is better asked for elsewhere.
 constexpr double answerFactor = 1.5;
 /// Pauses that clients bear beyond the objective before they leave.
@@ -180,7 +180,7 @@
     }
     const Milliseconds patience = std::min(this->facts.patience.value_or(this->route->timeout), this->route->timeout);
     this->deadline = this->arrivedAt + patience - answerMargin;
-    this->size = firstSize(*this->route, this->route->maxAttempts);
+    this->size = firstSize(*this->route, this->route->maxAttempts, this->context.sizes);
     return std::nullopt;
 }
 
@@ -295,6 +295,10 @@
     ++this->tries;
     AttemptResult result = AttemptResult::Unreachable;
     this->connectionKept = false;
+    this->trail.append(" ").append(target->id.str()).append(this->candidate ? "/new" : "");
+    if (!this->route->sizes.empty()) {
+        this->trail.append("/size").append(std::to_string(this->size));
+    }
     if (endpoint) {
         const RunningGuard running(this->context.beliefs.upstreams, target->id);
         std::unique_ptr<HttpCall> connection;
@@ -322,8 +326,7 @@
     }
     this->learn(*target, result);
     const auto took = (bootTime() - begun).count();
-    this->trail.append(" ").append(target->id.str()).append(":").append(resultName(result));
-    this->trail.append(":").append(std::to_string(took)).append("ms");
+    this->trail.append(":").append(resultName(result)).append(":").append(std::to_string(took)).append("ms");
     co_return result;
 }
 
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -149,6 +149,7 @@
     const BoundSettings &bounds = this->settings.bounds;
     this->context.budget.setBounds(
         {.ratio = bounds.repeatRatio, .window = bounds.repeatWindow, .slack = bounds.repeatSlack});
+    this->context.sizes.leastConfidence = this->settings.limits.leastConfidence;
     this->sync.setShiftLimits({.exposeShare = bounds.exposeShare, .sessionLife = bounds.sessionLife});
 }
 
