Notice within two seconds that the store's answers were lost

TCP acknowledges in such an outage, so keep-alive probes show nothing. Ruled out: the time to apply a configuration. Change: the read of the operator's table waits 1 s, and when it fails the other reads are begun anew. Conclusion: one short read is the sentinel; it costs 1 call a second and instance.

--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -16,8 +16,11 @@
 /// @brief How the store is asked.
 struct SyncLimits
 {
-    /// @brief The longest wait of one read for changes. Keep-alive probes find a dead connection sooner.
+    /// @brief The longest wait of one read for changes.
     Milliseconds wait{10000};
+    /// @brief The same for the operator's table, whose reads show that the store is away for all of them: its bound on
+    /// changes, 2 s at the least, covers this wait, the margin of the read and another read.
+    Milliseconds ordersWait{1000};
     /// @brief Changes of upstreams within this are read together: they come from each of them, and a call is priced.
     Milliseconds upstreamPace{500};
     Milliseconds fleetPace{700}; ///< the same for the rows of other instances
@@ -50,6 +53,7 @@
     {
         StoreTable table;
         std::string name; ///< in the log
+        Milliseconds wait{0};
         Milliseconds pace{0};
         void (FleetSync::*whole)(const TableSnapshot &);
         void (FleetSync::*changes)(const TableSnapshot &);
--- a/include/parsleyvane/forward/platformport.h
+++ b/include/parsleyvane/forward/platformport.h
@@ -102,6 +102,8 @@
     /// @brief Waits for changes after a version; an empty list once the wait is over.
     virtual boost::asio::awaitable<ChangesOutcome> readChanges(StoreTable table, std::uint64_t after, Milliseconds wait)
         = 0;
+    /// @brief Breaks the reads under way: their answers were lost with the store's.
+    virtual void interruptReads() = 0;
     /// @brief Writes under conditions.
     virtual boost::asio::awaitable<TransactionOutcome> transact(Transaction transaction) = 0;
     /// @brief A row's key in a transaction.
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -53,11 +53,14 @@
 {
     this->configured = std::move(onConfigured);
     const std::array readers = {
-        Reader{StoreTable::Orders, "orders", Milliseconds(0), &FleetSync::takeOrders, &FleetSync::takeOrders},
-        Reader{StoreTable::Upstreams, "upstreams", this->limits.upstreamPace, &FleetSync::takeAllUpstreams,
-               &FleetSync::takeUpstreams},
-        Reader{StoreTable::Status, "status", Milliseconds(0), &FleetSync::takeStatus, &FleetSync::takeStatus},
-        Reader{StoreTable::Fleet, "fleet", this->limits.fleetPace, &FleetSync::takeReports, &FleetSync::takeReports},
+        Reader{StoreTable::Orders, "orders", this->limits.ordersWait, Milliseconds(0), &FleetSync::takeOrders,
+               &FleetSync::takeOrders},
+        Reader{StoreTable::Upstreams, "upstreams", this->limits.wait, this->limits.upstreamPace,
+               &FleetSync::takeAllUpstreams, &FleetSync::takeUpstreams},
+        Reader{StoreTable::Status, "status", this->limits.wait, Milliseconds(0), &FleetSync::takeStatus,
+               &FleetSync::takeStatus},
+        Reader{StoreTable::Fleet, "fleet", this->limits.wait, this->limits.fleetPace, &FleetSync::takeReports,
+               &FleetSync::takeReports},
     };
     for (const Reader &reader : readers) {
         asio::co_spawn(this->context.io, this->readLoop(reader), asio::detached);
@@ -110,8 +113,7 @@
         // A store that has had no write yet is read whole again.
         co_return snapshot->version;
     }
-    const ChangesOutcome outcome
-        = co_await this->context.platform.readChanges(reader.table, version, this->limits.wait);
+    const ChangesOutcome outcome = co_await this->context.platform.readChanges(reader.table, version, reader.wait);
     if (const auto *snapshot = std::get_if<TableSnapshot>(&outcome)) {
         this->noteTime(*snapshot);
         (this->*reader.changes)(*snapshot);
@@ -133,6 +135,9 @@
     wasAway = !answers;
     this->context.metrics.countEvent(answers ? "store_regained" : "store_lost");
     this->context.log.line(answers ? "store_regained" : "store_lost", {{"table", reader.name}, {"detail", detail}});
+    if (reader.table == StoreTable::Orders && !answers) {
+        this->context.platform.interruptReads();
+    }
     if (reader.table == StoreTable::Upstreams) {
         if (answers) {
             this->context.beliefs.upstreams.storeRegained(bootTime());
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -761,6 +761,7 @@
                            {{"id", this->facts.id.str()},
                             {"route", this->route != nullptr ? this->route->name.str() : "-"},
                             {"account", this->tenant != nullptr ? this->tenant->account.str() : "-"},
+                            {"session", this->facts.session.empty() ? "-" : this->facts.session},
                             {"status", static_cast<std::int64_t>(status)},
                             {"why", why},
                             {"run", runStateName(this->soFar)},
