Let sessions change to a new version in the second half of an order only

Ruled out: the session's time to live (it was alive). Change: sessions stay at the old version until 0.52 of the order's time, are watched at a small part until 0.64, and move by their hash until 0.76; completion is written at 0.92.

--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -59,10 +59,12 @@
     double exposeShare = 0.15;
     /// Part of the allowed share that the new version gets while it is watched.
     double watchedShare = 0.6;
-    /// Sessions may change versions from half of the order's time on; a little later, since clocks are read late.
-    double rampBegin = 0.53;
-    double rampEnd = 0.68; ///< all requests go to the new version from here on
-    double settle = 0.88; ///< requests at the old version have ended, and completion is written
+    /// Sessions may change to the new version from half of the order's time on; a little later, as clocks are read
+    /// late.
+    double watchBegin = 0.52;
+    double rampBegin = 0.64; ///< the new version's part rises from here on
+    double rampEnd = 0.76; ///< all requests go to the new version from here on
+    double settle = 0.92; ///< most answers of the old version have ended, and completion is written
     Milliseconds sessionLife{5000}; ///< requests of a session that follow each other within this belong together
     /// @brief A candidate's answer this many times slower than the predecessor's usual one is a bad answer.
     double slowFactor = 3;
@@ -72,9 +74,10 @@
 /**
  * @brief One service's versions. Complexity: logarithmic in the sessions kept.
  *
- * A part of the requests goes to the new version while its answers are compared with the old one's; from the middle of
- * the order's time on the part rises to all of them. Sessions are placed by a hash of their name against that part,
- * which only rises, so that no instance moves a session back.
+ * A part of the requests goes to the new version while its answers are compared with the old one's; later the part
+ * rises to all of them. Requests of sessions stay at the old version for the first half of the order's time, since a
+ * session may have begun there at any instance; then they are placed by a hash of the session against that part, which
+ * only rises, so that no instance moves a session back.
  */
 class VersionShift
 {
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -116,9 +116,6 @@
 {
     const auto agreed = this->state();
     if (!agreed) {
-        if (!session.empty()) {
-            this->sessions[session] = {false, now};
-        }
         return false;
     }
     if (*agreed == RolloutState::Completed) {
@@ -131,18 +128,13 @@
     if (session.empty()) {
         return draw < part;
     }
-    const bool inRamp = this->progress(now).value_or(0) >= this->limits.rampBegin;
-    const auto known = this->sessions.find(session);
-    const bool alive = known != this->sessions.end() && now - known->second.at <= this->limits.sessionLife;
-    bool candidate = sessionDraw(session) < part;
-    if (alive && known->second.candidate) {
-        candidate = true;
-    } else if (!inRamp && (alive || now - this->startedAt <= this->limits.sessionLife)) {
-        // The session may have begun at the old version, here or at another instance.
-        candidate = false;
-    }
-    this->sessions[session] = {candidate, now};
-    return candidate;
+    if (this->progress(now).value_or(0) < this->limits.watchBegin) {
+        return false;
+    }
+    Seen &seen = this->sessions[session];
+    const bool stays = seen.candidate && now - seen.at <= this->limits.sessionLife;
+    seen = {stays || sessionDraw(session) < part, now};
+    return seen.candidate;
 }
 
 void VersionShift::onAnswer(bool candidate, bool good)
