Read an empty table by its changes; spread a prefix over more upstreams as the fleet grows

And a shared prompt part was held by one upstream, so 74 write-ups' subjects used at most 74 of 112 engines. Ruled out: the upstreams' registrations, which I had taken the calls for; they aren't counted. Change: the version to continue from is kept apart from 'not read yet'; waits and paces come from the deployment's bounds; a prefix has 1 + n/16 holders, more where it is short, and the nearest of them with the least work is taken.

--- a/include/parsleyvane/config/settings.h
+++ b/include/parsleyvane/config/settings.h
@@ -56,6 +56,10 @@
 /// @brief What the deployment promises of the fleet as a whole; only the ingress front reads them.
 struct BoundSettings
 {
+    /// @brief From the store's acknowledgement of a configuration until it is in force.
+    Milliseconds change{2000};
+    /// @brief From the store's acknowledgement that an upstream leaves until it gets nothing new.
+    Milliseconds leaving{2000};
     /// @brief From the request to stop until the process is killed.
     Milliseconds grace{8000};
     /// @brief Sendings beyond the first of each request, as a share of the requests.
--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -17,9 +17,8 @@
 struct SyncLimits
 {
     /// @brief The longest wait of one read for changes.
-    Milliseconds wait{10000};
-    /// @brief The same for the operator's table, whose reads show that the store is away for all of them: its bound on
-    /// changes, 2 s at the least, covers this wait, the margin of the read and another read.
+    Milliseconds wait{25000};
+    /// @brief The same for the operator's table, whose reads show that the store is away for all of them.
     Milliseconds ordersWait{1000};
     /// @brief Changes of upstreams within this are read together: they come from each of them, and a call is priced.
     Milliseconds upstreamPace{500};
@@ -46,6 +45,12 @@
     /// @brief Starts to read. @param configured called when the configuration or its limits changed
     void start(std::function<void()> configured);
     void setShiftLimits(const ShiftLimits &newLimits);
+    /**
+     * @brief Derives how often the store is asked from the deployment's bounds.
+     * @param change until a change of the configuration is in force
+     * @param leaving until an upstream that leaves gets nothing new
+     */
+    void setBounds(Milliseconds change, Milliseconds leaving);
 
 private:
     /// One table's reading: how its rows are taken in.
@@ -53,15 +58,14 @@
     {
         StoreTable table;
         std::string name; ///< in the log
-        Milliseconds wait{0};
-        Milliseconds pace{0};
         void (FleetSync::*whole)(const TableSnapshot &);
         void (FleetSync::*changes)(const TableSnapshot &);
     };
 
     boost::asio::awaitable<void> readLoop(Reader reader);
-    boost::asio::awaitable<std::optional<std::uint64_t>> readOnce(const Reader &reader, std::uint64_t version,
-                                                                  LastReason &reason);
+    boost::asio::awaitable<bool> readOnce(const Reader &reader, std::optional<std::uint64_t> &version,
+                                          LastReason &reason);
+    Milliseconds pace(StoreTable table) const;
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> publish();
     boost::asio::awaitable<void> steer(ServiceName service);
--- a/src/core/ingress/repeatbudget.cpp
+++ b/src/core/ingress/repeatbudget.cpp
@@ -8,8 +8,8 @@
 
 /// Part of the allowed ratio that is used; the rest covers windows that slide across this one.
 constexpr double usedRatio = 0.8;
-/// Part of the fleet's slack for one instance: with up to 20 instances the sum stays within it.
-constexpr double ownSlack = 0.05;
+/// Part of the fleet's slack for one instance: with up to 50 instances the sum stays within it.
+constexpr double ownSlack = 0.02;
 
 } // namespace
 
--- a/src/core/ingress/upstreamchoice.cpp
+++ b/src/core/ingress/upstreamchoice.cpp
@@ -3,6 +3,7 @@
 #include "parsleyvane/membership/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace parsleyvane {
 
@@ -48,22 +49,29 @@
     std::erase_if(found, [&](const Candidate &candidate) { return tier(candidate) != best; });
 }
 
-const RegisteredUpstream *byAffinity(std::vector<Candidate> &found, const std::string &affinity,
-                                     const ChoiceLimits &limits)
+/// Keeps the holders of a prefix that do not have too much work.
+void keepHolders(std::vector<Candidate> &found, const UpstreamQuestion &question, const ChoiceLimits &limits)
 {
     double total = 0;
     for (Candidate &candidate : found) {
-        candidate.weight = rendezvousWeight(affinity, candidate.upstream->entry.id.str());
+        candidate.weight = rendezvousWeight(question.affinity, candidate.upstream->entry.id.str());
         total += candidate.upstream->running;
     }
+    const auto all = static_cast<double>(found.size());
+    const double bound = limits.loadFactor * total / all + limits.loadSlack;
+    const double shortness
+        = std::max(1.0, limits.longPrefix / std::max<double>(1, static_cast<double>(question.affinityTokens)));
+    const auto holders = static_cast<std::size_t>(std::min(all, std::ceil((1 + all / limits.holderShare) * shortness)));
     std::sort(found.begin(), found.end(), [](const Candidate &a, const Candidate &b) { return a.weight > b.weight; });
-    const double bound = limits.loadFactor * total / static_cast<double>(found.size()) + limits.loadSlack;
+    std::vector<Candidate> kept;
     for (const Candidate &candidate : found) {
-        if (candidate.upstream->running <= bound) {
-            return candidate.upstream;
+        if (kept.size() < holders && candidate.upstream->running <= bound) {
+            kept.push_back(candidate);
         }
     }
-    return found.front().upstream;
+    if (!kept.empty()) {
+        found = std::move(kept);
+    }
 }
 
 const RegisteredUpstream *byWork(const std::vector<Candidate> &found, const ZoneId &zone, std::mt19937_64 &random,
@@ -95,9 +103,10 @@
         return std::nullopt;
     }
     keepBestTier(found);
-    const RegisteredUpstream *chosen = question.affinity.empty() ? byWork(found, question.zone, random, limits)
-                                                                 : byAffinity(found, question.affinity, limits);
-    return chosen->entry;
+    if (!question.affinity.empty()) {
+        keepHolders(found, question, limits);
+    }
+    return byWork(found, question.zone, random, limits)->entry;
 }
 
 } // namespace parsleyvane
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -154,6 +154,14 @@
          [](InstanceSettings &settings, const std::string &value) {
              return storeWait(settings.limits.billHold, value, noWait);
          }},
+    Rule{"bounds", "change-ms", false, waitRule,
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeWait(settings.bounds.change, value, shortestWait);
+         }},
+    Rule{"bounds", "leaving-ms", false, waitRule,
+         [](InstanceSettings &settings, const std::string &value) {
+             return storeWait(settings.bounds.leaving, value, shortestWait);
+         }},
     Rule{"bounds", "grace-s", false, secondsRule,
          [](InstanceSettings &settings, const std::string &value) {
              return storeSeconds(settings.bounds.grace, value);
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -53,14 +53,10 @@
 {
     this->configured = std::move(onConfigured);
     const std::array readers = {
-        Reader{StoreTable::Orders, "orders", this->limits.ordersWait, Milliseconds(0), &FleetSync::takeOrders,
-               &FleetSync::takeOrders},
-        Reader{StoreTable::Upstreams, "upstreams", this->limits.wait, this->limits.upstreamPace,
-               &FleetSync::takeAllUpstreams, &FleetSync::takeUpstreams},
-        Reader{StoreTable::Status, "status", this->limits.wait, Milliseconds(0), &FleetSync::takeStatus,
-               &FleetSync::takeStatus},
-        Reader{StoreTable::Fleet, "fleet", this->limits.wait, this->limits.fleetPace, &FleetSync::takeReports,
-               &FleetSync::takeReports},
+        Reader{StoreTable::Orders, "orders", &FleetSync::takeOrders, &FleetSync::takeOrders},
+        Reader{StoreTable::Upstreams, "upstreams", &FleetSync::takeAllUpstreams, &FleetSync::takeUpstreams},
+        Reader{StoreTable::Status, "status", &FleetSync::takeStatus, &FleetSync::takeStatus},
+        Reader{StoreTable::Fleet, "fleet", &FleetSync::takeReports, &FleetSync::takeReports},
     };
     for (const Reader &reader : readers) {
         asio::co_spawn(this->context.io, this->readLoop(reader), asio::detached);
@@ -77,17 +73,15 @@
 
 asio::awaitable<void> FleetSync::readLoop(Reader reader)
 {
-    std::uint64_t version = 0;
+    std::optional<std::uint64_t> version; // nothing before the table was read whole
     Milliseconds pause = this->limits.firstRetry;
     while (true) {
         LastReason reason;
-        const auto next = co_await this->readOnce(reader, version, reason);
-        if (next) {
+        if (co_await this->readOnce(reader, version, reason)) {
             this->noteStore(reader, true, {});
             pause = this->limits.firstRetry;
-            version = *next;
-            if (reader.pace.count() > 0) {
-                co_await sleepFor(reader.pace);
+            if (this->pace(reader.table).count() > 0) {
+                co_await sleepFor(this->pace(reader.table));
             }
             continue;
         }
@@ -100,30 +94,35 @@
     }
 }
 
-asio::awaitable<std::optional<std::uint64_t>> FleetSync::readOnce(const Reader &reader, std::uint64_t version,
-                                                                  LastReason &reason)
+asio::awaitable<bool> FleetSync::readOnce(const Reader &reader, std::optional<std::uint64_t> &version,
+                                          LastReason &reason)
 {
-    if (version == 0) {
+    if (!version) {
         const auto snapshot = co_await this->context.platform.readTable(reader.table, reason);
         if (!snapshot) {
-            co_return std::nullopt;
+            co_return false;
         }
         this->noteTime(*snapshot);
         (this->*reader.whole)(*snapshot);
-        // A store that has had no write yet is read whole again.
-        co_return snapshot->version;
+        version = snapshot->version;
+        co_return true;
     }
-    const ChangesOutcome outcome = co_await this->context.platform.readChanges(reader.table, version, reader.wait);
+    const ChangesOutcome outcome = co_await this->context.platform.readChanges(
+        reader.table, *version, reader.table == StoreTable::Orders ? this->limits.ordersWait : this->limits.wait);
     if (const auto *snapshot = std::get_if<TableSnapshot>(&outcome)) {
         this->noteTime(*snapshot);
         (this->*reader.changes)(*snapshot);
-        co_return std::max(version, snapshot->version);
+        version = std::max(*version, snapshot->version);
+        co_return true;
     }
     if (std::holds_alternative<HistoryLost>(outcome)) {
-        this->context.log.line("history_lost", {{"table", reader.name}, {"after", static_cast<std::int64_t>(version)}});
-        co_return std::uint64_t(0);
+        this->context.log.line("history_lost",
+                               {{"table", reader.name}, {"after", static_cast<std::int64_t>(*version)}});
+        version.reset();
+        co_return true;
     }
-    co_return reason.fail(std::get<Failure>(outcome));
+    reason.fail(std::get<Failure>(outcome));
+    co_return false;
 }
 
 void FleetSync::noteStore(const Reader &reader, bool answers, const std::string &detail)
@@ -147,6 +146,28 @@
     }
 }
 
+Milliseconds FleetSync::pace(StoreTable table) const
+{
+    switch (table) {
+    case StoreTable::Upstreams:
+        return this->limits.upstreamPace;
+    case StoreTable::Fleet:
+        return this->limits.fleetPace;
+    default:
+        return Milliseconds(0);
+    }
+}
+
+void FleetSync::setBounds(Milliseconds change, Milliseconds leaving)
+{
+    // A read that was lost with the store ends after its wait and margin; the next one needs some ms.
+    constexpr Milliseconds readMargin{900};
+    constexpr Milliseconds leastWait{500};
+    constexpr int paceParts = 3;
+    this->limits.ordersWait = std::max(leastWait, std::min(change, leaving) - readMargin);
+    this->limits.upstreamPace = leaving / paceParts;
+}
+
 void FleetSync::noteTime(const TableSnapshot &snapshot)
 {
     const Milliseconds offset = snapshot.storeTime - bootTime().time_since_epoch();
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -270,6 +270,9 @@
     this->candidate = shift.takesCandidate(this->facts.session, this->draw, now);
     UpstreamQuestion question{.service = this->service, .zone = this->context.zone, .tried = this->sentTo};
     question.affinity = this->affinity();
+    for (std::size_t part = 0; part + 1 < this->facts.prompt.size(); ++part) {
+        question.affinityTokens += this->facts.prompt.at(part).tokens;
+    }
     question.versionAllowed = [&](const VersionName &version) {
         return shift.allows(version, this->candidate);
     };
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -150,6 +150,7 @@
     this->context.budget.setBounds(
         {.ratio = bounds.repeatRatio, .window = bounds.repeatWindow, .slack = bounds.repeatSlack});
     this->context.sizes.leastConfidence = this->settings.limits.leastConfidence;
+    this->sync.setBounds(bounds.change, bounds.leaving);
     this->sync.setShiftLimits({.exposeShare = bounds.exposeShare, .sessionLife = bounds.sessionLife});
 }
 
