--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 check: deps
 	@tools/check-format
 	@tools/check-docs
+	@tools/check-platform-names
 
 lint: deps
 	@cmake -S . -B $(BUILD)-lint -G Ninja -DPARSLEYVANE_PCH=OFF >/dev/null
--- /dev/null
+++ b/tests/forwardrig.h
@@ -0,0 +1,263 @@
+/**
+ * @file
+ * @brief An ingress on loopback with hand-made beliefs, upstreams that answer by script, and callers that send raw
+ * bytes.
+ */
+#pragma once
+
+#include "parsleyvane/core/clock.h"
+#include "parsleyvane/forward/forwardedrequest.h"
+#include "platform/platform.h"
+
+#include <boost/asio.hpp>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace parsleyvane::test {
+
+namespace asio = boost::asio;
+
+/// @brief What an upstream does with one request.
+struct Act
+{
+    std::string answer;
+    bool closes = true; ///< the connection ends after the answer
+    bool waits = false; ///< it then keeps silent until the other side closes
+};
+
+/// @brief An upstream that plays its acts in turn, the last one again and again.
+class ScriptedUpstream
+{
+public:
+    ScriptedUpstream(asio::io_context &context, std::string id)
+        : id(std::move(id))
+        , acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        asio::co_spawn(context, ScriptedUpstream::accept(this), asio::detached);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+    }
+
+    std::string id;
+    std::deque<Act> acts;
+    std::vector<std::string> requests; ///< as they came
+    unsigned connections = 0;
+    unsigned closedByCaller = 0; ///< while it kept silent
+
+private:
+    static asio::awaitable<void> accept(ScriptedUpstream *self)
+    {
+        while (true) {
+            auto socket = co_await self->acceptor.async_accept(asio::use_awaitable);
+            ++self->connections;
+            asio::co_spawn(self->acceptor.get_executor(), ScriptedUpstream::serve(self, std::move(socket)),
+                           asio::detached);
+        }
+    }
+
+    static std::size_t requestEnd(const std::string &bytes)
+    {
+        const std::size_t head = bytes.find("\r\n\r\n");
+        if (head == std::string::npos) {
+            return std::string::npos;
+        }
+        const std::size_t field = bytes.find("Content-Length: ");
+        const std::size_t body = field < head ? std::stoul(bytes.substr(field + 16)) : 0;
+        return head + 4 + body <= bytes.size() ? head + 4 + body : std::string::npos;
+    }
+
+    static asio::awaitable<void> serve(ScriptedUpstream *self, asio::ip::tcp::socket socket)
+    {
+        std::string bytes;
+        std::array<char, 4096> space{};
+        while (true) {
+            while (requestEnd(bytes) == std::string::npos) {
+                boost::system::error_code error;
+                const auto count = co_await socket.async_read_some(asio::buffer(space),
+                                                                   asio::redirect_error(asio::use_awaitable, error));
+                if (error) {
+                    co_return;
+                }
+                bytes.append(space.data(), count);
+            }
+            self->requests.push_back(bytes.substr(0, requestEnd(bytes)));
+            bytes.erase(0, requestEnd(bytes));
+            const Act act = self->acts.front();
+            if (self->acts.size() > 1) {
+                self->acts.pop_front();
+            }
+            boost::system::error_code error;
+            const auto answer = asio::buffer(act.answer);
+            co_await asio::async_write(socket, answer, asio::redirect_error(asio::use_awaitable, error));
+            if (act.waits) {
+                co_await socket.async_read_some(asio::buffer(space), asio::redirect_error(asio::use_awaitable, error));
+                ++self->closedByCaller;
+                co_return;
+            }
+            if (act.closes) {
+                co_return;
+            }
+        }
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+};
+
+/// @brief The ingress under test.
+class ForwardRig
+{
+public:
+    ForwardRig()
+        : platform(this->io.get_executor(), asio::ip::tcp::endpoint())
+        , log(this->io, {.linesPerSecond = 0})
+        , context{.io = this->io,
+                  .platform = this->platform,
+                  .metrics = this->metrics,
+                  .log = this->log,
+                  .zone = ZoneId("a")}
+        , server(this->io, {.requestTimeout = Milliseconds(300), .idleTimeout = Milliseconds(3000)},
+                 [this](Exchange &exchange) -> asio::awaitable<void> {
+                     ForwardedRequest request(this->context, exchange);
+                     co_await request.run();
+                 })
+        , table(std::make_shared<RouteTable>(Revision(1)))
+    {
+        this->context.phase = ForwardPhase::Serving;
+        this->context.beliefs.upstreamsKnown = true;
+        this->context.budget.setBounds({.ratio = 10, .slack = 1000});
+        this->context.beliefs.table = this->table;
+        LastReason reason;
+        // A port that was free a moment ago; the listener does not tell which one it was given.
+        asio::ip::tcp::acceptor probe(this->io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        this->endpoint = probe.local_endpoint();
+        probe.close();
+        this->server.listen(this->endpoint, reason);
+    }
+
+    ~ForwardRig()
+    {
+        this->io.stop();
+    }
+
+    /// @brief Adds an upstream of the service "s".
+    ScriptedUpstream &upstream(const std::string &id, std::deque<Act> acts)
+    {
+        auto &added = this->upstreams.emplace_back(std::make_unique<ScriptedUpstream>(this->io, id));
+        added->acts = std::move(acts);
+        this->context.beliefs.upstreams.update({.id = UpstreamId(id),
+                                                .service = ServiceName("s"),
+                                                .address = added->address(),
+                                                .zone = ZoneId("a"),
+                                                .version = VersionName("v1"),
+                                                .slots = 4},
+                                               bootTime());
+        return *added;
+    }
+
+    /// @brief Adds a route below /NAME/.
+    void route(const std::string &name, Repeatability repeat, bool streams = false)
+    {
+        this->table->addRoute({.name = RouteName(name),
+                               .host = "h",
+                               .prefix = "/" + name + "/",
+                               .repeat = repeat,
+                               .streams = streams,
+                               .timeout = Milliseconds(1200),
+                               .objective = Milliseconds(200),
+                               .gapObjective = Milliseconds(200),
+                               .maxAttempts = 3,
+                               .services = {{ServiceName("s"), 1}}});
+    }
+
+    /// @brief Sends raw bytes on one connection and returns all that comes until its end, or for a while.
+    std::string exchange(const std::string &bytes, Milliseconds patience = Milliseconds(2000))
+    {
+        std::string answer;
+        bool ended = false;
+        asio::co_spawn(this->io, ForwardRig::talk(this, bytes, &answer, &ended), asio::detached);
+        const auto last = std::chrono::steady_clock::now() + patience;
+        while (!ended && std::chrono::steady_clock::now() < last) {
+            this->io.run_one_for(std::chrono::milliseconds(20));
+        }
+        return answer;
+    }
+
+    /// @brief Lets things happen for a while.
+    void pass(Milliseconds duration)
+    {
+        this->io.run_for(duration);
+    }
+
+    asio::io_context io;
+    platform::Platform platform;
+    Metrics metrics;
+    DecisionLog log;
+    ForwardContext context;
+    HttpServer server;
+    std::shared_ptr<RouteTable> table;
+    std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
+    asio::ip::tcp::endpoint endpoint;
+    bool leavesEarly = false; ///< the caller closes its connection as soon as it has sent its bytes
+
+private:
+    static asio::awaitable<void> talk(ForwardRig *self, std::string bytes, std::string *answer, bool *ended)
+    {
+        asio::ip::tcp::socket socket(self->io);
+        boost::system::error_code error;
+        co_await socket.async_connect(self->endpoint, asio::redirect_error(asio::use_awaitable, error));
+        const auto buffer = asio::buffer(bytes);
+        co_await asio::async_write(socket, buffer, asio::redirect_error(asio::use_awaitable, error));
+        if (self->leavesEarly) {
+            asio::steady_timer pause(self->io, std::chrono::milliseconds(60));
+            co_await pause.async_wait(asio::use_awaitable);
+            *ended = true;
+            co_return;
+        }
+        std::array<char, 4096> space{};
+        while (!error) {
+            const auto count = co_await socket.async_read_some(asio::buffer(space),
+                                                               asio::redirect_error(asio::use_awaitable, error));
+            answer->append(space.data(), count);
+        }
+        *ended = true;
+    }
+};
+
+/// @brief A request of a caller that closes its connection afterwards.
+inline std::string ask(const std::string &path, const std::string &id = "r-1", const std::string &more = "")
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Parsleyvane-Attempt-Id: " + id
+        + "\r\nConnection: close\r\nContent-Length: 2\r\n" + more + "\r\nhi";
+}
+
+/// @brief An upstream's whole answer.
+inline std::string reply(int status, const std::string &body, const std::string &id = "r-1",
+                         const std::string &more = "X-Parsleyvane-Server-Signature: sig\r\n")
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Any\r\nX-Parsleyvane-Attempt-Id: " + id + "\r\n" + more
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// @brief The head of a stream whose events follow in chunks.
+inline std::string streamHead(const std::string &id = "r-1")
+{
+    return "HTTP/1.1 200 OK\r\nX-Parsleyvane-Attempt-Id: " + id
+        + "\r\nX-Parsleyvane-Server-Signature: sig\r\nContent-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+/// @brief A chunk with one event.
+inline std::string chunkedEvent(int id)
+{
+    const std::string event = "id: " + std::to_string(id) + "\ndata: x\n\n";
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", event.size());
+    return std::string(size.data()) + "\r\n" + event + "\r\n";
+}
+
+} // namespace parsleyvane::test
--- /dev/null
+++ b/tests/unit-ingress.cpp
@@ -0,0 +1,380 @@
+#include "suite.h"
+
+#include "parsleyvane/ingress/crashledger.h"
+#include "parsleyvane/ingress/eventsplitter.h"
+#include "parsleyvane/ingress/fleetreport.h"
+#include "parsleyvane/ingress/repeatbudget.h"
+#include "parsleyvane/ingress/routetable.h"
+#include "parsleyvane/ingress/sizechoice.h"
+#include "parsleyvane/ingress/upstreamchoice.h"
+#include "parsleyvane/ingress/upstreamlist.h"
+
+namespace parsleyvane {
+
+namespace {
+
+constexpr TimePoint start{Milliseconds{1000000}};
+
+RouteRule route(const std::string &prefix, std::vector<ServiceShare> services)
+{
+    return {.name = RouteName(prefix), .host = "a.example", .prefix = prefix, .services = std::move(services)};
+}
+
+UpstreamEntry entry(const std::string &id, const std::string &zone = "a")
+{
+    return {.id = UpstreamId(id),
+            .service = ServiceName("s"),
+            .address = "127.0.0.1:9",
+            .zone = ZoneId(zone),
+            .version = VersionName("v1"),
+            .slots = 8,
+            .bornAt = 1};
+}
+
+UpstreamQuestion question()
+{
+    return {.service = ServiceName("s"), .zone = ZoneId("a")};
+}
+
+} // namespace
+
+class IngressTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(IngressTest);
+    CPPUNIT_TEST(theLongestPrefixWins);
+    CPPUNIT_TEST(aSplitFollowsItsWeights);
+    CPPUNIT_TEST(aRouteWithoutServiceIsUnknown);
+    CPPUNIT_TEST(anEntryThatLapsedInAnOutageStaysForTheGraceTime);
+    CPPUNIT_TEST(anEntryThatVanishesInCalmIsGoneAtOnce);
+    CPPUNIT_TEST(aDrainingEntryThatLapsesIsGoneAtOnce);
+    CPPUNIT_TEST(aRebornUpstreamStartsWithAGoodName);
+    CPPUNIT_TEST(whatSaidThatItLeavesTakesNothing);
+    CPPUNIT_TEST(whatFailedIsChosenLast);
+    CPPUNIT_TEST(whatWasTriedIsChosenLast);
+    CPPUNIT_TEST(instancesAgreeOnTheHolderOfALongPrefix);
+    CPPUNIT_TEST(aPrefixHasMoreHoldersInALargerFleet);
+    CPPUNIT_TEST(aBusyHolderIsPassedOver);
+    CPPUNIT_TEST(repeatsStayWithinTheirShareInEveryWindow);
+    CPPUNIT_TEST(threeCrashesStopARequest);
+    CPPUNIT_TEST(twoCrashesOfOneProcessCountOnce);
+    CPPUNIT_TEST(anAnswerClearsARequest);
+    CPPUNIT_TEST(crashesSeenElsewhereCount);
+    CPPUNIT_TEST(onlyWholeEventsLeave);
+    CPPUNIT_TEST(eventsSurviveAnyCut);
+    CPPUNIT_TEST(aPoorOpinionAsksTheLargestModel);
+    CPPUNIT_TEST(theLargestModelIsTakenAsItIs);
+    CPPUNIT_TEST(aSingleAttemptGoesToTheLargestModel);
+    CPPUNIT_TEST(reportsSurviveTheirText);
+    CPPUNIT_TEST(garbledReportsAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void theLongestPrefixWins()
+    {
+        RouteTable table{Revision(1)};
+        table.addRoute(route("/a/", {{ServiceName("one"), 1}}));
+        table.addRoute(route("/a/b/", {{ServiceName("two"), 1}}));
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), table.findRoute("a.example", "/a/b/c")->prefix);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/"), table.findRoute("a.example", "/a/bc")->prefix);
+        CPPUNIT_ASSERT(table.findRoute("a.example", "/b/") == nullptr);
+        CPPUNIT_ASSERT(table.findRoute("b.example", "/a/") == nullptr);
+        CPPUNIT_ASSERT(table.findRoute("a.example", "") == nullptr);
+    }
+
+    void aSplitFollowsItsWeights()
+    {
+        const RouteRule split = route("/a/", {{ServiceName("one"), 90}, {ServiceName("two"), 10}});
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), RouteTable::chooseService(split, 0.89).str());
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), RouteTable::chooseService(split, 0.91).str());
+    }
+
+    void aRouteWithoutServiceIsUnknown()
+    {
+        RouteTable table{Revision(1)};
+        table.addRoute(route("/a/", {}));
+        CPPUNIT_ASSERT(table.findRoute("a.example", "/a/") == nullptr);
+    }
+
+    void anEntryThatLapsedInAnOutageStaysForTheGraceTime()
+    {
+        UpstreamList list;
+        list.update(entry("u"), start);
+        list.storeLost();
+        list.storeRegained(start + Milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::string("lapsed"), list.remove(UpstreamId("u"), start + Milliseconds(8100)));
+        CPPUNIT_ASSERT(list.expire(start + Milliseconds(9900)).empty());
+        CPPUNIT_ASSERT(list.find(UpstreamId("u")) != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, list.expire(start + Milliseconds(10300)).size());
+        CPPUNIT_ASSERT(list.find(UpstreamId("u")) == nullptr);
+    }
+
+    void anEntryThatVanishesInCalmIsGoneAtOnce()
+    {
+        UpstreamList list;
+        list.update(entry("u"), start);
+        CPPUNIT_ASSERT_EQUAL(std::string("removed"), list.remove(UpstreamId("u"), start));
+        CPPUNIT_ASSERT(list.find(UpstreamId("u")) == nullptr);
+    }
+
+    void aDrainingEntryThatLapsesIsGoneAtOnce()
+    {
+        UpstreamList list;
+        UpstreamEntry leaving = entry("u");
+        leaving.draining = true;
+        list.update(leaving, start);
+        list.storeLost();
+        CPPUNIT_ASSERT_EQUAL(std::string("removed"), list.remove(UpstreamId("u"), start));
+    }
+
+    void aRebornUpstreamStartsWithAGoodName()
+    {
+        UpstreamList list;
+        list.update(entry("u"), start);
+        list.learn(UpstreamId("u"), UpstreamVerdict::Lost, start);
+        list.learn(UpstreamId("u"), UpstreamVerdict::Leaving, start);
+        UpstreamEntry reborn = entry("u");
+        reborn.bornAt = 2;
+        list.update(reborn, start);
+        CPPUNIT_ASSERT(!list.find(UpstreamId("u"))->left);
+        CPPUNIT_ASSERT(list.find(UpstreamId("u"))->avoidUntil <= start);
+    }
+
+    void whatSaidThatItLeavesTakesNothing()
+    {
+        UpstreamList list;
+        std::mt19937_64 random(1);
+        list.update(entry("u"), start);
+        list.learn(UpstreamId("u"), UpstreamVerdict::Leaving, start);
+        CPPUNIT_ASSERT(!chooseUpstream(list, question(), start, random));
+    }
+
+    void whatFailedIsChosenLast()
+    {
+        UpstreamList list;
+        std::mt19937_64 random(1);
+        list.update(entry("bad"), start);
+        list.update(entry("good", "far"), start);
+        list.learn(UpstreamId("bad"), UpstreamVerdict::Unreachable, start);
+        CPPUNIT_ASSERT_EQUAL(std::string("good"), chooseUpstream(list, question(), start, random)->id.str());
+        const TimePoint later = start + Milliseconds(600);
+        CPPUNIT_ASSERT_EQUAL(std::string("bad"), chooseUpstream(list, question(), later, random)->id.str());
+    }
+
+    void whatWasTriedIsChosenLast()
+    {
+        UpstreamList list;
+        std::mt19937_64 random(1);
+        list.update(entry("one"), start);
+        list.update(entry("two", "far"), start);
+        UpstreamQuestion again = question();
+        again.tried = {UpstreamId("one")};
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), chooseUpstream(list, again, start, random)->id.str());
+        again.tried.insert(UpstreamId("two"));
+        CPPUNIT_ASSERT(chooseUpstream(list, again, start, random).has_value());
+    }
+
+    static std::set<std::string> holders(std::size_t fleet, const std::string &zone)
+    {
+        UpstreamList list;
+        for (std::size_t number = 0; number < fleet; ++number) {
+            list.update(entry("u" + std::to_string(number)), start);
+        }
+        UpstreamQuestion asked = question();
+        asked.zone = ZoneId(zone);
+        asked.affinity = "prefix";
+        asked.affinityTokens = 5000;
+        std::set<std::string> chosen;
+        std::mt19937_64 random(7);
+        constexpr int draws = 200;
+        for (int draw = 0; draw < draws; ++draw) {
+            chosen.insert(chooseUpstream(list, asked, start, random)->id.str());
+        }
+        return chosen;
+    }
+
+    void instancesAgreeOnTheHolderOfALongPrefix()
+    {
+        CPPUNIT_ASSERT(holders(12, "a") == holders(12, "b"));
+        CPPUNIT_ASSERT(holders(12, "a").size() == 2);
+    }
+
+    void aPrefixHasMoreHoldersInALargerFleet()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, holders(112, "a").size());
+    }
+
+    void aBusyHolderIsPassedOver()
+    {
+        UpstreamList list;
+        std::mt19937_64 random(7);
+        for (const char *id : {"u0", "u1", "u2", "u3"}) {
+            list.update(entry(id), start);
+        }
+        UpstreamQuestion asked = question();
+        asked.affinity = "prefix";
+        asked.affinityTokens = 1000000;
+        const UpstreamId holder = chooseUpstream(list, asked, start, random)->id;
+        constexpr int work = 9;
+        for (int running = 0; running < work; ++running) {
+            list.begin(holder, 0);
+        }
+        CPPUNIT_ASSERT(chooseUpstream(list, asked, start, random)->id != holder);
+    }
+
+    void repeatsStayWithinTheirShareInEveryWindow()
+    {
+        test::property("repeats never exceed ratio x requests + slack in any window", []() {
+            const RepeatBounds bounds{.ratio = *rc::gen::element(0.1, 0.5, 0.9), .slack = 50};
+            RepeatBudget budget(bounds);
+            const ServiceName service("s");
+            std::vector<TimePoint> requests;
+            std::vector<TimePoint> repeats;
+            TimePoint now = start;
+            const int events = *rc::gen::inRange(1, 400);
+            for (int event = 0; event < events; ++event) {
+                now += Milliseconds(*rc::gen::inRange(0, 300));
+                if (*rc::gen::inRange(0, 3) == 0) {
+                    budget.onRequest(service, now);
+                    requests.push_back(now);
+                } else if (budget.take(service, now)) {
+                    repeats.push_back(now);
+                }
+                // The requests of the window before count as well, as the deployment's rule has it.
+                const auto within = [&](const std::vector<TimePoint> &times, Milliseconds span) {
+                    return std::count_if(times.begin(), times.end(), [&](TimePoint at) { return at > now - span; });
+                };
+                const auto allowed
+                    = bounds.ratio * static_cast<double>(within(requests, 2 * bounds.window)) + bounds.slack;
+                RC_ASSERT(static_cast<double>(within(repeats, bounds.window)) <= allowed);
+            }
+        });
+    }
+
+    void threeCrashesStopARequest()
+    {
+        CrashLedger ledger;
+        const Fingerprint print("p");
+        ledger.onLost(print, "a@1", start);
+        ledger.onLost(print, "b@1", start);
+        CPPUNIT_ASSERT(!ledger.isStopped(print));
+        ledger.onLost(print, "c@1", start);
+        CPPUNIT_ASSERT(ledger.isStopped(print));
+        CPPUNIT_ASSERT(!ledger.isStopped(Fingerprint("q")));
+        ledger.expire(start + Milliseconds(200000));
+        CPPUNIT_ASSERT(!ledger.isStopped(print));
+    }
+
+    void twoCrashesOfOneProcessCountOnce()
+    {
+        CrashLedger ledger;
+        for (const char *site : {"a@1", "a@1", "b@1", "b@1"}) {
+            ledger.onLost(Fingerprint("p"), site, start);
+        }
+        CPPUNIT_ASSERT(!ledger.isStopped(Fingerprint("p")));
+    }
+
+    void anAnswerClearsARequest()
+    {
+        CrashLedger ledger;
+        for (const char *site : {"a@1", "b@1", "c@1"}) {
+            ledger.onLost(Fingerprint("p"), site, start);
+        }
+        ledger.onAnswered(Fingerprint("p"));
+        CPPUNIT_ASSERT(!ledger.isStopped(Fingerprint("p")));
+    }
+
+    void crashesSeenElsewhereCount()
+    {
+        CrashLedger here;
+        CrashLedger there;
+        here.onLost(Fingerprint("p"), "a@1", start);
+        there.onLost(Fingerprint("p"), "b@1", start);
+        there.onLost(Fingerprint("p"), "c@1", start);
+        here.merge(there.report(), start);
+        CPPUNIT_ASSERT(here.isStopped(Fingerprint("p")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, here.report().front().sites.size());
+    }
+
+    void onlyWholeEventsLeave()
+    {
+        EventSplitter splitter;
+        splitter.feed("id: 1\ndata: a\n\nid: 2\nda");
+        const auto first = splitter.next();
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), std::string(first->bytes));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, *first->id);
+        CPPUNIT_ASSERT(!splitter.next());
+        CPPUNIT_ASSERT(splitter.pending() > 0);
+    }
+
+    void eventsSurviveAnyCut()
+    {
+        test::property("cuts change neither bytes nor ids", []() {
+            const std::string text = "id:1\r\ndata: a\r\n\r\nid: 2\ndata: b\nid-like: 7\n\ndata: none\n\n";
+            EventSplitter splitter;
+            std::string passed;
+            std::vector<std::uint64_t> ids;
+            for (std::size_t at = 0; at < text.size();) {
+                const auto length = *rc::gen::inRange<std::size_t>(1, 9);
+                splitter.feed(std::string_view(text).substr(at, length));
+                at += length;
+                while (const auto event = splitter.next()) {
+                    passed.append(event->bytes);
+                    ids.push_back(event->id.value_or(0));
+                }
+            }
+            RC_ASSERT(passed == text);
+            RC_ASSERT(ids == (std::vector<std::uint64_t>{1, 2, 0}));
+        });
+    }
+
+    static RouteRule threeSizes()
+    {
+        RouteRule rule = route("/a/", {{ServiceName("s"), 1}});
+        rule.sizes = {ModelName("small"), ModelName("middle"), ModelName("large")};
+        return rule;
+    }
+
+    void aPoorOpinionAsksTheLargestModel()
+    {
+        const SizeLimits limits{.leastConfidence = 50};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, *largerSize(threeSizes(), 0, 49, limits));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, *largerSize(threeSizes(), 0, std::nullopt, limits));
+        CPPUNIT_ASSERT(!largerSize(threeSizes(), 0, 50, limits));
+    }
+
+    void theLargestModelIsTakenAsItIs()
+    {
+        CPPUNIT_ASSERT(!largerSize(threeSizes(), 2, 0));
+    }
+
+    void aSingleAttemptGoesToTheLargestModel()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, firstSize(threeSizes(), 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, firstSize(threeSizes(), 3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, firstSize(threeSizes(), 3, {.leastConfidence = 101}));
+    }
+
+    void reportsSurviveTheirText()
+    {
+        FleetReport report;
+        report.crashes.push_back({Fingerprint("p"), {"a@1", "b@2"}});
+        report.versions.push_back(
+            {{ServiceName("s"), VersionName("v2"), 7, 2}, {ServiceName("s"), VersionName(), 9, 1}});
+        LastReason reason;
+        CPPUNIT_ASSERT(parseFleetReport(serialise(report), reason) == report);
+    }
+
+    void garbledReportsAreRefused()
+    {
+        for (const char *text :
+             {"", "{", "[]", "{\"crashes\":1,\"versions\":[]}", "{\"crashes\":[],\"versions\":[[]]}"}) {
+            LastReason reason;
+            CPPUNIT_ASSERT(!parseFleetReport(text, reason));
+            CPPUNIT_ASSERT(reason.failure().id == ErrorId::BadPeerData);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IngressTest);
+
+} // namespace parsleyvane
--- /dev/null
+++ b/tests/unit-net-platform.cpp
@@ -0,0 +1,193 @@
+#include "suite.h"
+
+#include "forwardrig.h"
+
+#include "parsleyvane/core/textcodec.h"
+#include "parsleyvane/net/endpoint.h"
+
+namespace parsleyvane {
+
+using test::Act;
+using test::ScriptedUpstream;
+namespace asio = boost::asio;
+
+namespace {
+
+std::string response(int status, const std::string &body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Any\r\nContent-Type: application/json\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string rowJson(const std::string &key, const std::string &value, int version)
+{
+    return R"({"table":"op","part":"","key":")" + key + R"(","value":")" + base64Encode(value) + R"(","ver":)"
+        + std::to_string(version) + "}";
+}
+
+/// The platform's client before a store that answers by script.
+struct StoreRig
+{
+    asio::io_context io;
+    ScriptedUpstream store{io, "store"};
+    platform::Platform client;
+
+    explicit StoreRig(std::deque<Act> acts)
+        : client(io.get_executor(), endpoint())
+    {
+        this->store.acts = std::move(acts);
+    }
+
+    asio::ip::tcp::endpoint endpoint() const
+    {
+        LastReason reason;
+        return *parseEndpoint(this->store.address(), reason);
+    }
+
+    template<typename Result>
+    Result run(asio::awaitable<Result> call)
+    {
+        std::optional<Result> result;
+        asio::co_spawn(
+            this->io, [&]() -> asio::awaitable<void> { result = co_await std::move(call); }, asio::detached);
+        while (!result) {
+            this->io.run_one();
+        }
+        return std::move(*result);
+    }
+};
+
+} // namespace
+
+class PlatformClientTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformClientTest);
+    CPPUNIT_TEST(readsATableOverSeveralAnswers);
+    CPPUNIT_TEST(readsChangesAndRemovals);
+    CPPUNIT_TEST(tellsThatTheHistoryIsGone);
+    CPPUNIT_TEST(readsUseOneConnectionAgain);
+    CPPUNIT_TEST(aRefusedReadIsAFailure);
+    CPPUNIT_TEST(answersThatMakeNoSenseAreFailures);
+    CPPUNIT_TEST(aConflictCarriesTheCurrentRows);
+    CPPUNIT_TEST(aRefusedWriteWasNotDone);
+    CPPUNIT_TEST(aLostWriteMayHaveBeenDone);
+    CPPUNIT_TEST(aSilentReadEndsAfterItsWait);
+    CPPUNIT_TEST(anInterruptedReadEndsAtOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void readsATableOverSeveralAnswers()
+    {
+        StoreRig rig(
+            {{response(200, R"({"rows":[)" + rowJson("a", "1", 3) + R"(],"has_more":true,"ver":9,"now_ms":5})"), false},
+             {response(200, R"({"rows":[)" + rowJson("b", "2", 4) + R"(],"has_more":false,"ver":9,"now_ms":6})"),
+              false}});
+        LastReason reason;
+        const auto snapshot = rig.run(rig.client.readTable(StoreTable::Orders, reason));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, snapshot->rows.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("op/b"), snapshot->rows.back().key);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), snapshot->rows.back().value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, snapshot->version);
+        CPPUNIT_ASSERT(snapshot->storeTime == Milliseconds(6));
+        CPPUNIT_ASSERT(rig.store.requests.back().find("from=a%00") != std::string::npos);
+    }
+
+    void readsChangesAndRemovals()
+    {
+        StoreRig rig(
+            {{response(200,
+                       R"({"rows":[)" + rowJson("a", "1", 3)
+                           + R"(,{"table":"op","part":"","key":"b","ver":4,"removed":true}],"ver":9,"now_ms":5})")}});
+        const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100)));
+        const auto &snapshot = std::get<TableSnapshot>(outcome);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, snapshot.rows.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("op/b"), snapshot.removed.front());
+        CPPUNIT_ASSERT(rig.store.requests.front().starts_with("GET /rows-feed?table=op&after=2&wait_ms=100 "));
+    }
+
+    void tellsThatTheHistoryIsGone()
+    {
+        StoreRig rig({{response(410, "{}")}});
+        const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100)));
+        CPPUNIT_ASSERT(std::holds_alternative<HistoryLost>(outcome));
+    }
+
+    void readsUseOneConnectionAgain()
+    {
+        StoreRig rig({{response(200, R"({"rows":[],"ver":9,"now_ms":5})"), false}});
+        constexpr int reads = 3;
+        for (int read = 0; read < reads; ++read) {
+            rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100)));
+        }
+        CPPUNIT_ASSERT_EQUAL(1U, rig.store.connections);
+    }
+
+    void aRefusedReadIsAFailure()
+    {
+        StoreRig rig({{response(429, "{}")}});
+        LastReason reason;
+        CPPUNIT_ASSERT(!rig.run(rig.client.readTable(StoreTable::Orders, reason)));
+        CPPUNIT_ASSERT(reason.failure().id == ErrorId::StoreUnavailable);
+    }
+
+    void answersThatMakeNoSenseAreFailures()
+    {
+        for (const char *body : {"", "[]", "{}", R"({"rows":5})"}) {
+            StoreRig rig({{response(200, body)}});
+            const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100)));
+            CPPUNIT_ASSERT_MESSAGE(body, std::holds_alternative<Failure>(outcome));
+        }
+    }
+
+    static Transaction transaction()
+    {
+        return {.checks = {{"status/rollout/s", 4}}, .puts = {{"status/rollout/s", "text"}}};
+    }
+
+    void aConflictCarriesTheCurrentRows()
+    {
+        StoreRig rig({{response(412, R"({"rows":[)" + rowJson("a", "1", 3) + R"(],"ver":9,"now_ms":5})")}});
+        const auto outcome = rig.run(rig.client.transact(transaction()));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, std::get<TransactionConflict>(outcome).rows.front().version);
+        const std::string &sent = rig.store.requests.front();
+        CPPUNIT_ASSERT(sent.find(R"("key":"rollout/s")") != std::string::npos);
+        CPPUNIT_ASSERT(sent.find(R"("ver":4)") != std::string::npos);
+        CPPUNIT_ASSERT(sent.find(base64Encode("text")) != std::string::npos);
+    }
+
+    void aRefusedWriteWasNotDone()
+    {
+        StoreRig rig({{response(503, "{}")}});
+        CPPUNIT_ASSERT(std::holds_alternative<TransactionNotSent>(rig.run(rig.client.transact(transaction()))));
+    }
+
+    void aLostWriteMayHaveBeenDone()
+    {
+        StoreRig rig({{""}});
+        CPPUNIT_ASSERT(std::holds_alternative<TransactionLost>(rig.run(rig.client.transact(transaction()))));
+    }
+
+    void aSilentReadEndsAfterItsWait()
+    {
+        StoreRig rig({{"", true, true}});
+        const auto begun = std::chrono::steady_clock::now();
+        const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100)));
+        CPPUNIT_ASSERT(std::holds_alternative<Failure>(outcome));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(1500));
+    }
+
+    void anInterruptedReadEndsAtOnce()
+    {
+        StoreRig rig({{"", true, true}});
+        asio::steady_timer timer(rig.io, std::chrono::milliseconds(50));
+        timer.async_wait([&](const boost::system::error_code &) { rig.client.interruptReads(); });
+        const auto begun = std::chrono::steady_clock::now();
+        const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(20000)));
+        CPPUNIT_ASSERT(std::holds_alternative<Failure>(outcome));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(1500));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformClientTest);
+
+} // namespace parsleyvane
--- /dev/null
+++ b/tests/unit-platform.cpp
@@ -0,0 +1,231 @@
+#include "suite.h"
+
+#include "platform/headers.h"
+#include "platform/names.h"
+#include "platform/rows.h"
+
+namespace parsleyvane {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+HttpRequest clientRequest()
+{
+    HttpRequest request(http::verb::post, "/a/b?c=d", 11);
+    request.set(http::field::host, "a.example:80");
+    request.set("X-Parsleyvane-Attempt-Id", "r-1");
+    request.set("X-Parsleyvane-Deadline-Ms", "1500");
+    request.set("X-Parsleyvane-Credential", "secret");
+    request.set("X-Parsleyvane-Prompt-Prefix", "5c1e:800,91bd:410");
+    request.set("X-Parsleyvane-Token-Counts", "1460,80");
+    request.body() = "body";
+    request.prepare_payload();
+    return request;
+}
+
+TableRow row(const std::string &key, const std::string &value)
+{
+    return {.key = key, .version = 3, .value = value};
+}
+
+const std::string goodServer
+    = R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":6,"state":"ready","born":17})";
+
+} // namespace
+
+class PlatformTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformTest);
+    CPPUNIT_TEST(readsWhatAClientSays);
+    CPPUNIT_TEST(refusesARequestWithoutId);
+    CPPUNIT_TEST(refusesAKeyOrIdThatStandsTwice);
+    CPPUNIT_TEST(passesMethodPathBodyAndIdUnchanged);
+    CPPUNIT_TEST(keepsTheKeyFromUpstreams);
+    CPPUNIT_TEST(dropsWhatOnlyTheSystemSets);
+    CPPUNIT_TEST(dropsHeadersOfOneConnection);
+    CPPUNIT_TEST(readsAConfiguration);
+    CPPUNIT_TEST(aStreamWithoutResumeRunsOnce);
+    CPPUNIT_TEST(readsARollOutOrder);
+    CPPUNIT_TEST(readsAnUpstream);
+    CPPUNIT_TEST(rowsOfOtherWritersNameNoUpstream);
+    CPPUNIT_TEST(aStatusSurvivesItsText);
+    CPPUNIT_TEST(takesEveryByteString);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void readsWhatAClientSays()
+    {
+        LastReason reason;
+        const auto facts = platform::readRequest(clientRequest(), reason);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b"), facts->path);
+        CPPUNIT_ASSERT_EQUAL(std::string("a.example"), facts->host);
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), facts->apiKey);
+        CPPUNIT_ASSERT(facts->patience == Milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, facts->prompt.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{410}, facts->prompt.back().tokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1460}, facts->promptTokens);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{80}, facts->outputTokens);
+    }
+
+    void refusesARequestWithoutId()
+    {
+        HttpRequest request = clientRequest();
+        request.erase("X-Parsleyvane-Attempt-Id");
+        LastReason reason;
+        CPPUNIT_ASSERT(!platform::readRequest(request, reason));
+        CPPUNIT_ASSERT(reason.failure().id == ErrorId::MalformedRequest);
+    }
+
+    void refusesAKeyOrIdThatStandsTwice()
+    {
+        for (const char *header : {"X-Parsleyvane-Credential", "X-Parsleyvane-Attempt-Id", "Host", "Session"}) {
+            HttpRequest request = clientRequest();
+            request.insert(header, "one");
+            request.insert(header, "two");
+            LastReason reason;
+            CPPUNIT_ASSERT_MESSAGE(header, !platform::readRequest(request, reason));
+        }
+    }
+
+    void passesMethodPathBodyAndIdUnchanged()
+    {
+        const HttpRequest sent = platform::makeUpstreamRequest(
+            clientRequest(), {.upstream = UpstreamId("u"), .account = AccountId("t"), .patience = Milliseconds(900)});
+        CPPUNIT_ASSERT(sent.method() == http::verb::post);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b?c=d"), std::string(sent.target()));
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), sent.body());
+        CPPUNIT_ASSERT_EQUAL(std::string("r-1"), std::string(sent["X-Parsleyvane-Attempt-Id"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("900"), std::string(sent["X-Parsleyvane-Deadline-Ms"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("u"), std::string(sent["X-Parsleyvane-Expect-Instance"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("t"), std::string(sent["X-Parsleyvane-Tenant"]));
+        CPPUNIT_ASSERT_EQUAL(std::string("4"), std::string(sent[http::field::content_length]));
+    }
+
+    void keepsTheKeyFromUpstreams()
+    {
+        const HttpRequest sent = platform::makeUpstreamRequest(clientRequest(), {.upstream = UpstreamId("u")});
+        for (const auto &header : sent) {
+            CPPUNIT_ASSERT(header.value().find("secret") == boost::beast::string_view::npos);
+        }
+    }
+
+    void dropsWhatOnlyTheSystemSets()
+    {
+        for (const char *header :
+             {"X-Parsleyvane-Tenant", "x-parsleyvane-hold", "X-Parsleyvane-Pin-Ms", "X-Parsleyvane-Kv-Backup",
+              "Kv-From", "KV-FETCH", "X-Parsleyvane-Request-Priority", "X-Parsleyvane-Expect-Version"}) {
+            HttpRequest request = clientRequest();
+            request.set(header, "forged");
+            const HttpRequest sent = platform::makeUpstreamRequest(request, {.upstream = UpstreamId("u")});
+            CPPUNIT_ASSERT_MESSAGE(header, sent[header] != "forged");
+        }
+    }
+
+    void dropsHeadersOfOneConnection()
+    {
+        HttpRequest request = clientRequest();
+        request.set(http::field::connection, "close, X-Hop");
+        request.set("X-Hop", "1");
+        request.set("X-Kept", "1");
+        const HttpRequest sent = platform::makeUpstreamRequest(request, {.upstream = UpstreamId("u")});
+        CPPUNIT_ASSERT(sent.count("X-Hop") == 0);
+        CPPUNIT_ASSERT(sent.count(http::field::connection) == 0);
+        CPPUNIT_ASSERT(sent.count("X-Kept") == 1);
+    }
+
+    void readsAConfiguration()
+    {
+        const std::string text
+            = R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"idempotent","timeout_ms":1500,
+            "target_latency_ms":300,"priority":2,"max_attempts":2,"traffic_split":[{"service":"s","weight":90},
+            {"service":"t","weight":10}]}],"services":[{"name":"s","max_connections":100}],
+            "limits":{"idle_timeout_ms":9000},"tenants":[{"name":"acme","api_keys":["k"],"priority":0}]})";
+        LastReason reason;
+        const auto order = platform::readOrder(row("op/config", text), reason);
+        const auto table = std::get<std::shared_ptr<const RouteTable>>(*order);
+        CPPUNIT_ASSERT(table->revision() == Revision(7));
+        const RouteRule *found = table->findRoute("h", "/p/x");
+        CPPUNIT_ASSERT(found->repeat == Repeatability::Always);
+        CPPUNIT_ASSERT_EQUAL(2U, found->maxAttempts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, found->services.size());
+        CPPUNIT_ASSERT(table->limits().idleTimeout == Milliseconds(9000));
+        CPPUNIT_ASSERT(table->keysRequired());
+        CPPUNIT_ASSERT_EQUAL(std::string("acme"), table->findTenant("k")->account.str());
+        CPPUNIT_ASSERT(table->findTenant("x") == nullptr);
+    }
+
+    void aStreamWithoutResumeRunsOnce()
+    {
+        const auto repeatOf = [](const std::string &fields) {
+            const std::string text
+                = R"({"version":1,"routes":[{"host":"h","prefix":"/p/","service":"s",)" + fields + "}]}";
+            LastReason reason;
+            const auto order = platform::readOrder(row("op/config", text), reason);
+            return std::get<std::shared_ptr<const RouteTable>>(*order)->findRoute("h", "/p/")->repeat;
+        };
+        CPPUNIT_ASSERT(repeatOf(R"("kind":"streaming")") == Repeatability::Once);
+        CPPUNIT_ASSERT(repeatOf(R"("kind":"streaming","stream_resume":true)") == Repeatability::Resumable);
+        CPPUNIT_ASSERT(repeatOf(R"("kind":"non_idempotent")") == Repeatability::Once);
+        CPPUNIT_ASSERT(repeatOf(R"("kind":"unheard_of")") == Repeatability::Once);
+    }
+
+    void readsARollOutOrder()
+    {
+        LastReason reason;
+        const auto order
+            = platform::readOrder(row("op/rollout/s", R"({"service":"s","to":"v2","duration_s":12})"), reason);
+        const auto rollout = std::get<RolloutOrder>(*order);
+        CPPUNIT_ASSERT(rollout.duration == Milliseconds(12000));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, rollout.number);
+        CPPUNIT_ASSERT(!platform::readOrder(row("op/else", "{}"), reason));
+    }
+
+    void readsAnUpstream()
+    {
+        LastReason reason;
+        const auto entry = platform::readUpstream(row("servers/i-1", goodServer), reason);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), entry->id.str());
+        CPPUNIT_ASSERT_EQUAL(6U, entry->slots);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{17}, entry->bornAt);
+        CPPUNIT_ASSERT(!entry->draining);
+    }
+
+    void rowsOfOtherWritersNameNoUpstream()
+    {
+        for (const char *text :
+             {"", "[]", "{}", R"({"service":5})",
+              R"({"service":"s","address":"a","zone":"z","version":"v","slots":"6","state":"ready"})",
+              R"({"service":"s","address":"a","zone":"z","version":"v","slots":6,"state":"odd"})",
+              R"({"service":"s","address":"a","zone":"z","version":"v","slots":6,"state":"ready","born":"x"})"}) {
+            LastReason reason;
+            CPPUNIT_ASSERT_MESSAGE(text, !platform::readUpstream(row("servers/i-1", text), reason));
+            CPPUNIT_ASSERT(reason.failure().id == ErrorId::BadPeerData);
+        }
+    }
+
+    void aStatusSurvivesItsText()
+    {
+        for (const RolloutState state : {RolloutState::Running, RolloutState::Completed, RolloutState::RolledBack}) {
+            const RolloutStatus status{ServiceName("s"), VersionName("v2"), state, 9, Milliseconds(1234)};
+            const auto [key, text] = platform::writeStatus(status);
+            LastReason reason;
+            CPPUNIT_ASSERT(platform::readStatus(row("status/" + key, text), reason) == status);
+        }
+    }
+
+    void takesEveryByteString()
+    {
+        test::property("no bytes of another writer end the process", []() {
+            const auto text = *rc::gen::arbitrary<std::string>();
+            LastReason reason;
+            platform::readUpstream(row("servers/x", text), reason);
+            platform::readOrder(row("op/config", text), reason);
+            platform::readStatus(row("status/rollout/x", text), reason);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
+
+} // namespace parsleyvane
