--- a/include/parsleyvane/ingress/sizechoice.h
+++ b/include/parsleyvane/ingress/sizechoice.h
@@ -17,12 +17,12 @@
     /// @brief At no load, a smaller model's answer is taken from this opinion of its own on, 0 to 100.
     double leastConfidence = 60;
     /// @brief Pressure below this is usual and changes nothing.
-    double usualPressure = 0.13;
+    double usualPressure = 0.1;
     /// @brief From this pressure on, every answer of a smaller model to a long prompt is taken.
-    double fullPressure = 0.5;
+    double fullPressure = 0.4;
     /// @brief A prompt of this many tokens gives way to pressure half as much as a very long one: a larger model's time
     /// goes into reading.
-    double longPrompt = 2000;
+    double longPrompt = 1000;
 };
 
 /// @brief What is known when a smaller model's answer begins.
