--- a/include/parsleyvane/ingress/repeatbudget.h
+++ b/include/parsleyvane/ingress/repeatbudget.h
@@ -37,6 +37,9 @@
     void onRequest(const ServiceName &service, TimePoint now);
     /// @brief Takes one repeat, if there is one left.
     bool take(const ServiceName &service, TimePoint now);
+    /// @brief Takes one repeat in any case, for an answer that would break off midway; later ones have to make up for
+    /// it.
+    void spend(const ServiceName &service, TimePoint now);
 
     // observers
     /// @brief Repeats left now.
--- a/src/core/ingress/repeatbudget.cpp
+++ b/src/core/ingress/repeatbudget.cpp
@@ -33,10 +33,15 @@
     if (this->left(service, now) < 1) {
         return false;
     }
-    ++this->current(service, now).repeats;
+    this->spend(service, now);
     return true;
 }
 
+void RepeatBudget::spend(const ServiceName &service, TimePoint now)
+{
+    ++this->current(service, now).repeats;
+}
+
 double RepeatBudget::left(const ServiceName &service, TimePoint now) const
 {
     double allowed = this->bounds.slack * ownSlack;
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -257,6 +257,8 @@
         why = "attempts";
     } else if (this->sendings >= mostSendings || this->tries >= mostTries) {
         why = "tries";
+    } else if (this->exchange.answered()) {
+        this->context.budget.spend(this->service, bootTime());
     } else if (this->sendings > 0 && result != AttemptResult::PoorAnswer && result != AttemptResult::Unreachable
                && result != AttemptResult::Withdrawn && !this->context.budget.take(this->service, bootTime())) {
         why = "repeat_budget";
@@ -670,7 +672,9 @@
     }
     const TimePoint now = bootTime();
     const std::string kind = this->route->name.str() + "/" + std::to_string(this->size);
-    if (result == AttemptResult::Failed || result == AttemptResult::Silent) {
+    // A late first event speaks of the upstream's queue, not of its version.
+    const bool silent = result == AttemptResult::Silent && !this->route->streams;
+    if (result == AttemptResult::Failed || silent) {
         shift.onAnswer(this->candidate, false);
     } else if (result == AttemptResult::Delivered) {
         constexpr std::uint64_t leastEvents = 4;
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(aConnectionWithBytesLeftOverIsNotUsedAgain);
     CPPUNIT_TEST(aRunOnceRequestTakesAFreshConnection);
     CPPUNIT_TEST(aStreamGoesOnAfterItsLastWholeEvent);
+    CPPUNIT_TEST(aBegunStreamGoesOnWithoutBudget);
+    CPPUNIT_TEST(aLateFirstEventIsNoEvidenceAgainstAVersion);
     CPPUNIT_TEST(aStreamThatMayNotResumeBreaksVisibly);
     CPPUNIT_TEST(aMissingEventNeverPasses);
     CPPUNIT_TEST(aSilentUpstreamIsLeftInTime);
@@ -251,6 +253,32 @@
         CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
     }
 
+    void aBegunStreamGoesOnWithoutBudget()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Resumable, true);
+        rig.context.budget.setBounds({.ratio = 0, .slack = 0});
+        rig.upstream("u", {{streamHead() + chunkedEvent(1)}, {streamHead() + chunkedEvent(2) + "0\r\n\r\n"}});
+        const std::string answer = rig.exchange(ask("/stream/"));
+        CPPUNIT_ASSERT(has(answer, "id: 2\n"));
+        CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+        CPPUNIT_ASSERT(has(rig.upstreams.front()->requests.back(), "Last-Event-Id: 1\r\n"));
+    }
+
+    void aLateFirstEventIsNoEvidenceAgainstAVersion()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Resumable, true);
+        rig.upstream("u", {{"", true, true}});
+        VersionShift &shift = shiftOf(rig.context, ServiceName("s"));
+        shift.onOrder(
+            {.service = ServiceName("s"), .to = VersionName("v1"), .duration = Milliseconds(1000), .number = 1});
+        shift.onStatus({.service = ServiceName("s"), .to = VersionName("v1"), .order = 1}, bootTime());
+        rig.exchange(ask("/stream/"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, shift.counts().first.bad);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, shift.counts().second.bad);
+    }
+
     void aStreamThatMayNotResumeBreaksVisibly()
     {
         ForwardRig rig;
