Judge a new version against its predecessor's own late answers; watch a larger part for longer

And a version that answers slowly is found late or not at all. Change: the same measure of 'slow', five times the usual pauses, counts for both versions; 1.5 times the allowed share is watched from 0.51 to 0.68 of the order's time.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -77,6 +77,8 @@
     bool askLarger(const AnswerHead &facts);
     void learn(const UpstreamEntry &target, AttemptResult result);
     void learnVersion(AttemptResult result);
+    void judgePace();
+    void tellEvidence(const VersionShift &shift);
     void notePressure(Milliseconds waited);
     DispatchFacts dispatchFacts(const UpstreamEntry &target) const;
     Milliseconds answerLimit() const;
@@ -115,6 +117,7 @@
     std::string trail; ///< the attempts so far, for the log
     Fingerprint fingerprintValue;
     HttpCall *call = nullptr; ///< the connection in use
+    bool paceJudged = false; ///< this attempt's pauses were compared with the usual ones
     bool gone = false;
     bool answered = false;
     bool connectionKept = false; ///< the answer was read to its end and the connection may carry another
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -57,18 +57,19 @@
 {
     /// @brief Most of the service's requests that a bad version may get; set from the deployment's bound.
     double exposeShare = 0.15;
-    /// Part of the allowed share that the new version gets while it is watched.
-    double watchedShare = 0.6;
+    /// What the new version gets while it is watched, against the allowed share of all requests of the order's time: it
+    /// is watched for a sixth of that.
+    double watchedShare = 1.5;
     /// Sessions may change to the new version from half of the order's time on; a little later, as clocks are read
     /// late.
-    double watchBegin = 0.52;
-    double rampBegin = 0.64; ///< the new version's part rises from here on
-    double rampEnd = 0.76; ///< all requests go to the new version from here on
+    double watchBegin = 0.51;
+    double rampBegin = 0.68; ///< the new version's part rises from here on
+    double rampEnd = 0.8; ///< all requests go to the new version from here on
     double settle = 0.92; ///< most answers of the old version have ended, and completion is written
     Milliseconds sessionLife{5000}; ///< requests of a session that follow each other within this belong together
-    /// @brief A candidate's answer this many times slower than the predecessor's usual one is a bad answer.
-    double slowFactor = 3;
-    Milliseconds slowSlack{30}; ///< and by at least this much, so that noise at small times does not count
+    /// @brief An answer this many times slower than the predecessor's usual one is a bad answer, of either version.
+    double slowFactor = 5;
+    Milliseconds slowSlack{60}; ///< and by at least this much, so that noise at small times does not count
 };
 
 /**
@@ -95,7 +96,7 @@
     bool takesCandidate(const std::string &session, double draw, TimePoint now);
     /// @brief An answer was given. @param candidate by the new version @param good whether it is what was asked for
     void onAnswer(bool candidate, bool good);
-    /// @brief How long an answer took per step of its work. @return whether that is too slow for the new version
+    /// @brief How long an answer of a kind of work took. @return whether that is far too long
     bool isSlow(bool candidate, const std::string &kind, Milliseconds took);
     /// @brief Counts of another instance, the new version's and the old one's.
     void merge(const InstanceId &from, const VersionCount &candidate, const VersionCount &predecessor);
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -13,7 +13,7 @@
 JudgeLimits judgeLimits()
 {
     JudgeLimits limits;
-    limits.falseHalts = 0.002;
+    limits.falseHalts = 0.001;
     limits.badRatio = 6;
     limits.lowestRate = 0.02;
     limits.leastBaseline = 20;
@@ -149,13 +149,19 @@
     constexpr double newest = 0.1;
     const auto time = static_cast<double>(took.count());
     const auto known = this->usual.find(kind);
-    if (!candidate) {
-        double &mean = this->usual.try_emplace(kind, time).first->second;
-        mean += newest * (time - mean);
+    if (known == this->usual.end()) {
+        if (!candidate) {
+            this->usual.emplace(kind, time);
+        }
         return false;
     }
-    return known != this->usual.end() && time > this->limits.slowFactor * known->second
-        && time > known->second + static_cast<double>(this->limits.slowSlack.count());
+    const double longest = this->limits.slowFactor * known->second;
+    const bool slow = time > longest && time > known->second + static_cast<double>(this->limits.slowSlack.count());
+    if (!candidate) {
+        // One very late answer must not make all others look quick.
+        known->second += newest * (std::min(time, longest) - known->second);
+    }
+    return slow;
 }
 
 void VersionShift::merge(const InstanceId &from, const VersionCount &candidate, const VersionCount &predecessor)
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -310,6 +310,14 @@
         this->context.beliefs.crashes.merge(told->crashes, now);
         for (const auto &[candidate, predecessor] : told->versions) {
             shiftOf(this->context, candidate.service).merge(from, candidate, predecessor);
+            this->context.log.line("evidence",
+                                   {{"from", from.str()},
+                                    {"service", candidate.service.str()},
+                                    {"version", candidate.version.str()},
+                                    {"bad", static_cast<std::int64_t>(candidate.bad)},
+                                    {"served", static_cast<std::int64_t>(candidate.served)},
+                                    {"predecessor_bad", static_cast<std::int64_t>(predecessor.bad)},
+                                    {"predecessor_served", static_cast<std::int64_t>(predecessor.served)}});
         }
     }
 }
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -349,7 +349,9 @@
         = this->context.platform.makeUpstreamRequest(this->exchange.request(), this->dispatchFacts(target));
     this->sentTo.insert(target.id);
     this->sentAt = bootTime();
+    this->firstEventAt = TimePoint();
     this->events = 0;
+    this->paceJudged = false;
     ++this->sendings;
     ++this->runs;
     // From the first byte on it may run, whatever comes back.
@@ -507,6 +509,7 @@
         this->firstEventAt = bootTime();
         this->notePressure(this->firstEventAt - this->sentAt);
     }
+    this->judgePace();
     bool passed = false;
     if (!this->exchange.answered()) {
         passed = co_await this->exchange.beginRelay(statusOk, passedHead(connection.head()), std::move(out));
@@ -664,6 +667,31 @@
     }
 }
 
+void ForwardedRequest::judgePace()
+{
+    // A slow version shows in the pauses long before its answers end.
+    constexpr std::uint64_t sampledEvents = 6;
+    VersionShift &shift = shiftOf(this->context, this->service);
+    if (this->paceJudged || this->events < sampledEvents || !shift.order()) {
+        return;
+    }
+    // Ten pauses, since one is only some ms long.
+    constexpr std::int64_t pauses = 10;
+    const auto gaps = static_cast<std::int64_t>(this->events - 1);
+    const std::string kind = this->route->name.str() + "/" + std::to_string(this->size) + "/pauses";
+    this->paceJudged = true;
+    const bool slow = shift.isSlow(this->candidate, kind, (bootTime() - this->firstEventAt) * pauses / gaps);
+    shift.onAnswer(this->candidate, !slow);
+    this->tellEvidence(shift);
+}
+
+void ForwardedRequest::tellEvidence(const VersionShift &shift)
+{
+    if (this->context.evidenceChanged && shift.hasEvidence()) {
+        this->context.evidenceChanged();
+    }
+}
+
 void ForwardedRequest::learnVersion(AttemptResult result)
 {
     VersionShift &shift = shiftOf(this->context, this->service);
@@ -676,24 +704,13 @@
     const bool silent = result == AttemptResult::Silent && !this->route->streams;
     if (result == AttemptResult::Failed || silent) {
         shift.onAnswer(this->candidate, false);
-    } else if (result == AttemptResult::Delivered) {
-        constexpr std::uint64_t leastEvents = 4;
-        bool slow = false;
-        if (!this->route->streams) {
-            slow = shift.isSlow(this->candidate, kind, now - this->sentAt);
-        } else if (this->events >= leastEvents) {
-            // Ten pauses, since one is only some ms long.
-            constexpr std::int64_t pauses = 10;
-            const auto gaps = static_cast<std::int64_t>(this->events - 1);
-            slow = shift.isSlow(this->candidate, kind, (now - this->firstEventAt) * pauses / gaps);
-        }
+    } else if (result == AttemptResult::Delivered && !this->paceJudged) {
+        const bool slow = shift.isSlow(this->candidate, kind, now - this->sentAt);
         shift.onAnswer(this->candidate, !slow);
     } else {
         return;
     }
-    if (this->context.evidenceChanged && shift.hasEvidence()) {
-        this->context.evidenceChanged();
-    }
+    this->tellEvidence(shift);
 }
 
 DispatchFacts ForwardedRequest::dispatchFacts(const UpstreamEntry &target) const
