--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -30,6 +30,9 @@
     PoorAnswer, ///< a larger model is asked instead
 };
 
+/// @brief The result as it stands in logs and metrics, such as "bad_data".
+std::string_view resultName(AttemptResult result);
+
 /**
  * @brief Serves one request: admits it, sends it to upstreams until one answers, and says truthfully what happened.
  *
@@ -67,7 +70,7 @@
     boost::asio::awaitable<AttemptResult> attemptAt(const UpstreamEntry &target, HttpCall &connection);
     boost::asio::awaitable<AttemptResult> readAnswer(const UpstreamEntry &target, HttpCall &connection);
     boost::asio::awaitable<AttemptResult> readWhole(HttpCall &connection, const AnswerHead &facts);
-    boost::asio::awaitable<AttemptResult> readStream(const UpstreamEntry &target, HttpCall &connection);
+    boost::asio::awaitable<AttemptResult> readStream(HttpCall &connection);
     boost::asio::awaitable<std::optional<AttemptResult>> passEvents(HttpCall &connection, EventSplitter &splitter);
     boost::asio::awaitable<AttemptResult> deliver(WholeAnswer answer);
     boost::asio::awaitable<void> finish();
--- a/include/parsleyvane/ingress/routetable.h
+++ b/include/parsleyvane/ingress/routetable.h
@@ -7,7 +7,6 @@
 #include "parsleyvane/core/ids.h"
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -53,24 +52,6 @@
     std::vector<ServiceShare> services; ///< at least one
 };
 
-/// @brief What a model of a service costs.
-struct ModelPrice
-{
-    ModelName model;
-    double perThousandTokens = 0; ///< tokens generated; tokens read count as a quarter
-};
-
-/// @brief What is known of a service apart from its upstreams.
-struct ServiceRule
-{
-    ServiceName name;
-    unsigned maxConnections = 0; ///< at one upstream, from all callers; 0 when not told
-    bool isEngine = false;
-    unsigned batch = 0; ///< requests that an engine runs at once
-    std::int64_t memoryTokens = 0; ///< of an engine
-    std::vector<ModelPrice> prices;
-};
-
 /// @brief A client account as far as routing needs it.
 struct TenantRule
 {
@@ -104,7 +85,6 @@
     // modifiers
     /// @brief Adds a route; a route without a service is left out.
     void addRoute(RouteRule route);
-    void addService(ServiceRule service);
     /// @brief Adds an account and one of its API keys.
     void addKey(const std::string &key, const TenantRule &tenant);
     /// @brief Declares that requests need an API key.
@@ -120,7 +100,6 @@
     const RouteRule *findRoute(std::string_view host, std::string_view path) const;
     /// @brief The service for a request. @param draw from 0 to below 1, the same for each attempt of a request
     static const ServiceName &chooseService(const RouteRule &route, double draw);
-    const ServiceRule *findService(const ServiceName &name) const;
     /// @brief The account that holds the key; null when none does.
     const TenantRule *findTenant(const std::string &key) const;
     bool keysRequired() const noexcept
@@ -141,7 +120,6 @@
 
     Revision number;
     std::unordered_map<std::string, Prefixes> hosts;
-    std::map<ServiceName, ServiceRule> services;
     std::unordered_map<std::string, TenantRule> tenants;
     ClientLimits clientLimits;
     std::size_t routes = 0;
--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -46,7 +46,6 @@
 {
     UpstreamEntry entry;
     unsigned running = 0; ///< attempts of this instance under way
-    std::int64_t tokensToRead = 0; ///< prompt tokens of those attempts
     TimePoint avoidUntil{}; ///< takes work only when no other can before then
     Milliseconds backoff{0}; ///< the last pause it was given
     double failureRate = 0; ///< moving average over its latest answers
@@ -79,7 +78,7 @@
 
     // modifiers
     /// @brief An entry was written. @return what changed of the belief, for the log; empty when nothing did
-    std::string update(const UpstreamEntry &entry, TimePoint now);
+    std::string update(const UpstreamEntry &entry);
     /// @brief An entry vanished. @return what changed of the belief; empty when nothing did
     std::string remove(const UpstreamId &id, TimePoint now);
     /// @brief The whole list was read: all others are removed. Complexity: linear.
@@ -91,9 +90,7 @@
     /// @brief Drops entries whose grace time is over. @return the ids. Complexity: linear.
     std::vector<UpstreamId> expire(TimePoint now);
     /// @brief An attempt begins.
-    void begin(const UpstreamId &id, std::int64_t tokensToRead);
-    /// @brief An attempt's prompt has been read, or the attempt ended before.
-    void promptRead(const UpstreamId &id, std::int64_t tokensToRead);
+    void begin(const UpstreamId &id);
     /// @brief An attempt ended, whatever the verdict.
     void end(const UpstreamId &id);
     /// @brief Learns how an attempt went.
--- a/src/core/ingress/routetable.cpp
+++ b/src/core/ingress/routetable.cpp
@@ -17,12 +17,6 @@
     this->hosts[route.host].insert_or_assign(std::move(prefix), std::move(route));
 }
 
-void RouteTable::addService(ServiceRule service)
-{
-    ServiceName name = service.name;
-    this->services.insert_or_assign(std::move(name), std::move(service));
-}
-
 void RouteTable::addKey(const std::string &key, const TenantRule &tenant)
 {
     this->tenants.insert_or_assign(key, tenant);
@@ -71,12 +65,6 @@
     return route.services.front().service;
 }
 
-const ServiceRule *RouteTable::findService(const ServiceName &name) const
-{
-    const auto found = this->services.find(name);
-    return found != this->services.end() ? &found->second : nullptr;
-}
-
 const TenantRule *RouteTable::findTenant(const std::string &key) const
 {
     const auto found = this->tenants.find(key);
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -10,7 +10,7 @@
 {
 }
 
-std::string UpstreamList::update(const UpstreamEntry &entry, TimePoint now)
+std::string UpstreamList::update(const UpstreamEntry &entry)
 {
     const auto [found, isNew] = this->upstreams.try_emplace(entry.id);
     RegisteredUpstream &upstream = found->second;
@@ -30,7 +30,6 @@
         upstream.left = false;
     }
     upstream.entry = entry;
-    static_cast<void>(now);
     if (isNew || reborn) {
         return entry.draining ? "draining" : "ready";
     }
@@ -58,7 +57,7 @@
     std::set<UpstreamId> listed;
     for (const UpstreamEntry &entry : entries) {
         listed.insert(entry.id);
-        if (const std::string change = this->update(entry, now); !change.empty()) {
+        if (const std::string change = this->update(entry); !change.empty()) {
             changes.push_back(entry.id.str() + " " + change);
         }
     }
@@ -106,20 +105,11 @@
     return gone;
 }
 
-void UpstreamList::begin(const UpstreamId &id, std::int64_t tokensToRead)
+void UpstreamList::begin(const UpstreamId &id)
 {
     const auto found = this->upstreams.find(id);
     if (found != this->upstreams.end()) {
         ++found->second.running;
-        found->second.tokensToRead += tokensToRead;
-    }
-}
-
-void UpstreamList::promptRead(const UpstreamId &id, std::int64_t tokensToRead)
-{
-    const auto found = this->upstreams.find(id);
-    if (found != this->upstreams.end()) {
-        found->second.tokensToRead = std::max<std::int64_t>(0, found->second.tokensToRead - tokensToRead);
     }
 }
 
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -253,7 +253,7 @@
             continue;
         }
         this->context.beliefs.upstreamsKnown = true;
-        const std::string change = upstreams.update(*entry, now);
+        const std::string change = upstreams.update(*entry);
         if (!change.empty()) {
             this->context.log.line("upstream",
                                    {{"change", entry->id.str() + " " + change},
--- /dev/null
+++ b/src/net/forward/forwardedlearning.cpp
@@ -0,0 +1,116 @@
+#include "parsleyvane/forward/forwardedrequest.h"
+
+#include "parsleyvane/core/clock.h"
+
+#include <algorithm>
+#include <array>
+
+namespace parsleyvane {
+
+std::string_view resultName(AttemptResult result)
+{
+    constexpr std::array<std::string_view, 11> names
+        = {"delivered", "caller_gone", "no_upstream", "unreachable", "withdrawn",  "refused",
+           "lost",      "silent",      "bad_data",    "failed",      "poor_answer"};
+    return names.at(static_cast<std::size_t>(result));
+}
+
+void ForwardedRequest::learn(const UpstreamEntry &target, AttemptResult result)
+{
+    UpstreamList &upstreams = this->context.beliefs.upstreams;
+    const TimePoint now = bootTime();
+    switch (result) {
+    case AttemptResult::Delivered:
+        upstreams.learn(target.id, UpstreamVerdict::Answered, now);
+        this->context.beliefs.crashes.onAnswered(this->fingerprintOf());
+        break;
+    case AttemptResult::Unreachable:
+        upstreams.learn(target.id, UpstreamVerdict::Unreachable, now);
+        break;
+    case AttemptResult::Refused:
+        upstreams.learn(target.id, UpstreamVerdict::Refused, now);
+        break;
+    case AttemptResult::Lost:
+        upstreams.learn(target.id, UpstreamVerdict::Lost, now);
+        if (this->events == 0) {
+            this->context.beliefs.crashes.onLost(this->fingerprintOf(),
+                                                 target.id.str() + "@" + std::to_string(target.bornAt), now);
+            if (this->context.evidenceChanged) {
+                this->context.evidenceChanged();
+            }
+        }
+        break;
+    case AttemptResult::Silent:
+        upstreams.learn(target.id, UpstreamVerdict::Silent, now);
+        if (this->events == 0) {
+            this->notePressure(now - this->sentAt);
+        }
+        break;
+    case AttemptResult::BadData:
+    case AttemptResult::Failed:
+        upstreams.learn(target.id, UpstreamVerdict::Failed, now);
+        break;
+    default:
+        break;
+    }
+    this->context.metrics.countAttempt(UpstreamId(this->service.str()), resultName(result));
+    this->learnVersion(result);
+}
+
+void ForwardedRequest::notePressure(Milliseconds waited)
+{
+    constexpr double newest = 0.1;
+    if (!this->route->sizes.empty() && this->size + 1 == this->route->sizes.size()) {
+        double &pressure = this->context.pressure[this->service];
+        const double part = static_cast<double>(waited.count()) / static_cast<double>(this->route->objective.count());
+        pressure += newest * (part - pressure);
+    }
+}
+
+void ForwardedRequest::judgePace()
+{
+    // A slow version shows in the pauses long before its answers end.
+    constexpr std::uint64_t sampledEvents = 6;
+    VersionShift &shift = shiftOf(this->context, this->service);
+    if (this->paceJudged || this->events < sampledEvents || !shift.order()) {
+        return;
+    }
+    // Ten pauses, since one is only some ms long.
+    constexpr std::int64_t pauses = 10;
+    const auto gaps = static_cast<std::int64_t>(this->events - 1);
+    const std::string kind = this->route->name.str() + "/" + std::to_string(this->size) + "/pauses";
+    this->paceJudged = true;
+    const bool slow = shift.isSlow(this->candidate, kind, (bootTime() - this->firstEventAt) * pauses / gaps);
+    shift.onAnswer(this->candidate, !slow);
+    this->tellEvidence(shift);
+}
+
+void ForwardedRequest::tellEvidence(const VersionShift &shift)
+{
+    if (this->context.evidenceChanged && shift.hasEvidence()) {
+        this->context.evidenceChanged();
+    }
+}
+
+void ForwardedRequest::learnVersion(AttemptResult result)
+{
+    VersionShift &shift = shiftOf(this->context, this->service);
+    if (!shift.order()) {
+        return;
+    }
+    const TimePoint now = bootTime();
+    const std::string kind = this->route->name.str() + "/" + std::to_string(this->size);
+    // A late first event speaks of the upstream's queue, not of its version.
+    const bool silent = result == AttemptResult::Silent && !this->route->streams;
+    if (result == AttemptResult::Failed || silent) {
+        shift.onAnswer(this->candidate, false);
+    } else if (result == AttemptResult::Delivered && !this->paceJudged) {
+        const bool slow = shift.isSlow(this->candidate, kind, now - this->sentAt);
+        shift.onAnswer(this->candidate, !slow);
+    } else {
+        return;
+    }
+    this->tellEvidence(shift);
+}
+
+} // namespace parsleyvane
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -154,8 +154,7 @@
                                                 .address = added->address(),
                                                 .zone = ZoneId("a"),
                                                 .version = VersionName("v1"),
-                                                .slots = 4},
-                                               bootTime());
+                                                .slots = 4});
         return *added;
     }
 
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -99,7 +99,7 @@
     void anEntryThatLapsedInAnOutageStaysForTheGraceTime()
     {
         UpstreamList list;
-        list.update(entry("u"), start);
+        list.update(entry("u"));
         list.storeLost();
         list.storeRegained(start + Milliseconds(8000));
         CPPUNIT_ASSERT_EQUAL(std::string("lapsed"), list.remove(UpstreamId("u"), start + Milliseconds(8100)));
@@ -112,7 +112,7 @@
     void anEntryThatVanishesInCalmIsGoneAtOnce()
     {
         UpstreamList list;
-        list.update(entry("u"), start);
+        list.update(entry("u"));
         CPPUNIT_ASSERT_EQUAL(std::string("removed"), list.remove(UpstreamId("u"), start));
         CPPUNIT_ASSERT(list.find(UpstreamId("u")) == nullptr);
     }
@@ -122,7 +122,7 @@
         UpstreamList list;
         UpstreamEntry leaving = entry("u");
         leaving.draining = true;
-        list.update(leaving, start);
+        list.update(leaving);
         list.storeLost();
         CPPUNIT_ASSERT_EQUAL(std::string("removed"), list.remove(UpstreamId("u"), start));
     }
@@ -130,12 +130,12 @@
     void aRebornUpstreamStartsWithAGoodName()
     {
         UpstreamList list;
-        list.update(entry("u"), start);
+        list.update(entry("u"));
         list.learn(UpstreamId("u"), UpstreamVerdict::Lost, start);
         list.learn(UpstreamId("u"), UpstreamVerdict::Leaving, start);
         UpstreamEntry reborn = entry("u");
         reborn.bornAt = 2;
-        list.update(reborn, start);
+        list.update(reborn);
         CPPUNIT_ASSERT(!list.find(UpstreamId("u"))->left);
         CPPUNIT_ASSERT(list.find(UpstreamId("u"))->avoidUntil <= start);
     }
@@ -144,7 +144,7 @@
     {
         UpstreamList list;
         std::mt19937_64 random(1);
-        list.update(entry("u"), start);
+        list.update(entry("u"));
         list.learn(UpstreamId("u"), UpstreamVerdict::Leaving, start);
         CPPUNIT_ASSERT(!chooseUpstream(list, question(), start, random));
     }
@@ -153,8 +153,8 @@
     {
         UpstreamList list;
         std::mt19937_64 random(1);
-        list.update(entry("bad"), start);
-        list.update(entry("good", "far"), start);
+        list.update(entry("bad"));
+        list.update(entry("good", "far"));
         list.learn(UpstreamId("bad"), UpstreamVerdict::Unreachable, start);
         CPPUNIT_ASSERT_EQUAL(std::string("good"), chooseUpstream(list, question(), start, random)->id.str());
         const TimePoint later = start + Milliseconds(600);
@@ -165,8 +165,8 @@
     {
         UpstreamList list;
         std::mt19937_64 random(1);
-        list.update(entry("one"), start);
-        list.update(entry("two", "far"), start);
+        list.update(entry("one"));
+        list.update(entry("two", "far"));
         UpstreamQuestion again = question();
         again.tried = {UpstreamId("one")};
         CPPUNIT_ASSERT_EQUAL(std::string("two"), chooseUpstream(list, again, start, random)->id.str());
@@ -178,7 +178,7 @@
     {
         UpstreamList list;
         for (std::size_t number = 0; number < fleet; ++number) {
-            list.update(entry("u" + std::to_string(number)), start);
+            list.update(entry("u" + std::to_string(number)));
         }
         UpstreamQuestion asked = question();
         asked.zone = ZoneId(zone);
@@ -209,7 +209,7 @@
         UpstreamList list;
         std::mt19937_64 random(7);
         for (const char *id : {"u0", "u1", "u2", "u3"}) {
-            list.update(entry(id), start);
+            list.update(entry(id));
         }
         UpstreamQuestion asked = question();
         asked.affinity = "prefix";
@@ -217,7 +217,7 @@
         const UpstreamId holder = chooseUpstream(list, asked, start, random)->id;
         constexpr int work = 9;
         for (int running = 0; running < work; ++running) {
-            list.begin(holder, 0);
+            list.begin(holder);
         }
         CPPUNIT_ASSERT(chooseUpstream(list, asked, start, random)->id != holder);
     }
