--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -404,7 +404,7 @@
         ForwardRig rig;
         rig.route("once", Repeatability::Once);
         rig.upstream("u", {{reply(200, "ok")}});
-        const std::string answer = rig.exchange(bytes, Milliseconds(1500));
+        std::string answer = rig.exchange(bytes, Milliseconds(1500));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, sendings(rig));
         return answer;
     }
