Find a slow version by the logarithms of its pauses

Cause: an answer counted as slow when it took 5 times its predecessor's usual time. First events say little: they depend on the queue.

Change: PaceTest, a sequential test of the logarithms against the predecessor's moving mean for the same kind of work; log-odds add up over the instances and count once they have lasted 400 ms. Sessions go to a watched version at three times the exposed share for a sixth of the order's time (before: 1.5 times); requests without a session before that at the share itself.

Ruled out: time to the first event (median 95 against 38 to 155), single answers beyond a factor (13 to 20 % of the predecessor's own).

--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "parsleyvane/core/ids.h"
+#include "parsleyvane/ingress/pacetest.h"
 #include "parsleyvane/rollout/versionjudge.h"
 
 #include <cstdint>
@@ -48,6 +49,7 @@
     VersionName version;
     std::uint64_t served = 0;
     std::uint64_t bad = 0;
+    PaceEvidence pace; ///< of the new version only
 
     friend bool operator==(const VersionCount &, const VersionCount &) = default;
 };
@@ -57,9 +59,11 @@
 {
     /// @brief Most of the service's requests that a bad version may get; set from the deployment's bound.
     double exposeShare = 0.15;
-    /// What the new version gets while it is watched, against the allowed share of all requests of the order's time: it
-    /// is watched for a sixth of that.
-    double watchedShare = 1.5;
+    /// What the new version gets of requests without a session before sessions may move, against exposeShare.
+    double earlyShare = 1;
+    /// What it gets from then on while it is watched: that lasts a sixth of the order's time, so that a bad version
+    /// that is noticed last has half of its bound.
+    double watchedShare = 3;
     /// Sessions may change to the new version from half of the order's time on; a little later, as clocks are read
     /// late.
     double watchBegin = 0.51;
@@ -67,9 +71,9 @@
     double rampEnd = 0.8; ///< all requests go to the new version from here on
     double settle = 0.92; ///< most answers of the old version have ended, and completion is written
     Milliseconds sessionLife{5000}; ///< requests of a session that follow each other within this belong together
-    /// @brief An answer this many times slower than the predecessor's usual one is a bad answer, of either version.
-    double slowFactor = 5;
-    Milliseconds slowSlack{60}; ///< and by at least this much, so that noise at small times does not count
+    double falseHalts = 0.0005; ///< chance that a good version is backed out, by each of the tests
+    /// How long merged evidence of slowness must last before it counts: what speaks against it may still be on its way.
+    Milliseconds confirmTime{400};
 };
 
 /**
@@ -96,13 +100,14 @@
     bool takesCandidate(const std::string &session, double draw, TimePoint now);
     /// @brief An answer was given. @param candidate by the new version @param good whether it is what was asked for
     void onAnswer(bool candidate, bool good);
-    /// @brief How long an answer of a kind of work took. @return whether that is far too long
-    bool isSlow(bool candidate, const std::string &kind, Milliseconds took);
+    /// @brief How long an answer of a kind of work took; counts only while the new version is watched, since the load
+    /// of both changes once traffic moves. @param sentAt when the request was sent
+    void onPace(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
     /// @brief Counts of another instance, the new version's and the old one's.
     void merge(const InstanceId &from, const VersionCount &candidate, const VersionCount &predecessor);
     /// @brief Looks at all counts; once the version is found bad, it stays so.
     /// @return why the version is bad, at the moment that this is found
-    std::optional<std::string> judge();
+    std::optional<std::string> judge(TimePoint now);
     /// @brief Forgets sessions that are over. Complexity: linear.
     void expire(TimePoint now);
 
@@ -140,7 +145,18 @@
         TimePoint at{};
     };
 
+    /// What an instance has seen, or all of them.
+    struct Evidence
+    {
+        AnswerCounts candidate;
+        AnswerCounts predecessor;
+        PaceEvidence pace;
+    };
+
     double share(TimePoint now) const;
+    Evidence totals() const;
+    bool hasPaceEvidence() const noexcept;
+    std::optional<std::string> judgePace(const PaceEvidence &pace, TimePoint now);
 
     ShiftLimits limits;
     std::optional<RolloutOrder> current;
@@ -149,8 +165,9 @@
     std::map<std::string, Seen> sessions;
     AnswerCounts ownCandidate;
     AnswerCounts ownPredecessor;
-    std::map<InstanceId, std::pair<AnswerCounts, AnswerCounts>> others;
-    std::map<std::string, double> usual; ///< the predecessor's usual time, by kind of work
+    std::map<InstanceId, Evidence> others;
+    PaceTest paceTest;
+    std::optional<TimePoint> slowSince; ///< the merged evidence says slow since then
     VersionJudge versionJudge;
     bool bad = false;
 };
--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -13,7 +13,9 @@
     return Json{{"service", count.service.str()},
                 {"version", count.version.str()},
                 {"served", count.served},
-                {"bad", count.bad}};
+                {"bad", count.bad},
+                {"paceAnswers", count.pace.answers},
+                {"paceLogOdds", count.pace.logOdds}};
 }
 
 VersionCount readCount(const Json &json)
@@ -21,7 +23,9 @@
     return {.service = ServiceName(json.at("service").get<std::string>()),
             .version = VersionName(json.at("version").get<std::string>()),
             .served = json.at("served").get<std::uint64_t>(),
-            .bad = json.at("bad").get<std::uint64_t>()};
+            .bad = json.at("bad").get<std::uint64_t>(),
+            .pace = {.logOdds = json.at("paceLogOdds").get<double>(),
+                     .answers = json.at("paceAnswers").get<std::uint64_t>()}};
 }
 
 FleetReport readReport(const Json &json)
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -3,6 +3,9 @@
 #include "parsleyvane/membership/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iomanip>
+#include <sstream>
 
 namespace parsleyvane {
 
@@ -10,10 +13,10 @@
 
 /// The rates that the deployment's bad versions and usual failures are told apart by: a version is bad when it fails
 /// several times as often as its predecessor, which itself is taken to fail in 2 of 100.
-JudgeLimits judgeLimits()
+JudgeLimits judgeLimits(double falseHalts)
 {
     JudgeLimits limits;
-    limits.falseHalts = 0.0005;
+    limits.falseHalts = falseHalts;
     limits.badRatio = 6;
     limits.lowestRate = 0.02;
     limits.leastBaseline = 20;
@@ -42,7 +45,7 @@
 
 VersionShift::VersionShift(ShiftLimits limits)
     : limits(limits)
-    , versionJudge(judgeLimits())
+    , versionJudge(judgeLimits(limits.falseHalts))
 {
 }
 
@@ -59,7 +62,9 @@
     this->current = newOrder;
     this->ownCandidate = {};
     this->others.clear();
-    this->versionJudge = VersionJudge(judgeLimits());
+    this->paceTest.restart();
+    this->slowSince.reset();
+    this->versionJudge = VersionJudge(judgeLimits(this->limits.falseHalts));
     this->bad = false;
     if (this->status && this->status->order != newOrder.number) {
         this->status.reset();
@@ -104,7 +109,10 @@
 double VersionShift::share(TimePoint now) const
 {
     const double passed = this->progress(now).value_or(0);
-    const double watched = this->limits.watchedShare * this->limits.exposeShare;
+    if (passed < this->limits.watchBegin) {
+        return std::min(1.0, this->limits.earlyShare * this->limits.exposeShare);
+    }
+    const double watched = std::min(1.0, this->limits.watchedShare * this->limits.exposeShare);
     if (passed < this->limits.rampBegin) {
         return watched;
     }
@@ -144,50 +152,73 @@
     counts.bad += good ? 0 : 1;
 }
 
-bool VersionShift::isSlow(bool candidate, const std::string &kind, Milliseconds took)
+void VersionShift::onPace(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt)
 {
-    constexpr double newest = 0.1;
-    const auto time = static_cast<double>(took.count());
-    const auto known = this->usual.find(kind);
-    if (known == this->usual.end()) {
-        if (!candidate) {
-            this->usual.emplace(kind, time);
-        }
-        return false;
+    const auto passed = this->progress(sentAt);
+    if (!passed || *passed >= this->limits.rampBegin) {
+        return;
     }
-    const double longest = this->limits.slowFactor * known->second;
-    const bool slow = time > longest && time > known->second + static_cast<double>(this->limits.slowSlack.count());
-    if (!candidate) {
-        // One very late answer must not make all others look quick.
-        known->second += newest * (std::min(time, longest) - known->second);
+    if (candidate) {
+        this->paceTest.onCandidate(kind, took);
+    } else {
+        this->paceTest.onPredecessor(kind, took);
     }
-    return slow;
 }
 
 void VersionShift::merge(const InstanceId &from, const VersionCount &candidate, const VersionCount &predecessor)
 {
     if (this->current && candidate.version == this->current->to) {
-        this->others[from] = {{candidate.served, candidate.bad}, {predecessor.served, predecessor.bad}};
+        this->others[from] = {.candidate = {candidate.served, candidate.bad},
+                              .predecessor = {predecessor.served, predecessor.bad},
+                              .pace = candidate.pace};
     }
 }
 
-std::optional<std::string> VersionShift::judge()
+VersionShift::Evidence VersionShift::totals() const
+{
+    Evidence sum{
+        .candidate = this->ownCandidate, .predecessor = this->ownPredecessor, .pace = this->paceTest.evidence()};
+    for (const auto &[from, told] : this->others) {
+        addTo(sum.candidate, told.candidate);
+        addTo(sum.predecessor, told.predecessor);
+        sum.pace.logOdds += told.pace.logOdds;
+        sum.pace.answers += told.pace.answers;
+    }
+    return sum;
+}
+
+std::optional<std::string> VersionShift::judge(TimePoint now)
 {
     if (this->bad || this->state() != RolloutState::Running) {
         return std::nullopt;
     }
-    AnswerCounts candidate = this->ownCandidate;
-    AnswerCounts predecessor = this->ownPredecessor;
-    for (const auto &[from, counts] : this->others) {
-        addTo(candidate, counts.first);
-        addTo(predecessor, counts.second);
-    }
-    const VersionVerdict verdict = this->versionJudge.judge({evidenceOf(candidate), evidenceOf(predecessor), {}});
+    const Evidence sum = this->totals();
+    const VersionVerdict verdict
+        = this->versionJudge.judge({evidenceOf(sum.candidate), evidenceOf(sum.predecessor), {}});
     if (const auto *halt = std::get_if<HaltVersion>(&verdict)) {
         this->bad = true;
         return halt->reason;
     }
-    return std::nullopt;
+    return this->judgePace(sum.pace, now);
+}
+
+std::optional<std::string> VersionShift::judgePace(const PaceEvidence &pace, TimePoint now)
+{
+    if (pace.logOdds < std::log(1 / this->limits.falseHalts)) {
+        this->slowSince.reset();
+        return std::nullopt;
+    }
+    if (!this->slowSince) {
+        this->slowSince = now;
+    }
+    if (now - *this->slowSince < this->limits.confirmTime) {
+        return std::nullopt;
+    }
+    this->bad = true;
+    std::ostringstream reason;
+    reason << "slower than its predecessor over " << pace.answers << " answers, log-odds " << std::setprecision(3)
+           << pace.logOdds;
+    return reason.str();
 }
 
 void VersionShift::expire(TimePoint now)
@@ -207,8 +238,22 @@
     // A version that fails as seldom as any is not worth a row.
     constexpr std::uint64_t leastBad = 2;
     constexpr std::uint64_t usualServed = 25;
-    return this->state() == RolloutState::Running && this->ownCandidate.bad >= leastBad
-        && this->ownCandidate.bad * usualServed >= this->ownCandidate.served;
+    if (this->state() != RolloutState::Running) {
+        return false;
+    }
+    return (this->ownCandidate.bad >= leastBad && this->ownCandidate.bad * usualServed >= this->ownCandidate.served)
+        || this->hasPaceEvidence();
+}
+
+bool VersionShift::hasPaceEvidence() const noexcept
+{
+    // Somewhat more than one answer can give.
+    constexpr double leastTold = 2;
+    const PaceEvidence &own = this->paceTest.evidence();
+    // What speaks for the version counts once anyone has spoken against it.
+    const bool doubted = std::any_of(this->others.begin(), this->others.end(),
+                                     [](const auto &entry) { return entry.second.pace.logOdds > 0; });
+    return own.logOdds >= leastTold || (doubted && own.answers > 0);
 }
 
 std::pair<VersionCount, VersionCount> VersionShift::counts() const
@@ -219,7 +264,8 @@
     const VersionCount candidate{.service = this->current->service,
                                  .version = this->current->to,
                                  .served = this->ownCandidate.served,
-                                 .bad = this->ownCandidate.bad};
+                                 .bad = this->ownCandidate.bad,
+                                 .pace = this->paceTest.evidence()};
     const VersionCount predecessor{
         .service = this->current->service, .served = this->ownPredecessor.served, .bad = this->ownPredecessor.bad};
     return {candidate, predecessor};
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -316,6 +316,8 @@
                                     {"version", candidate.version.str()},
                                     {"bad", static_cast<std::int64_t>(candidate.bad)},
                                     {"served", static_cast<std::int64_t>(candidate.served)},
+                                    {"pace_answers", static_cast<std::int64_t>(candidate.pace.answers)},
+                                    {"pace_log_odds", std::to_string(candidate.pace.logOdds)},
                                     {"predecessor_bad", static_cast<std::int64_t>(predecessor.bad)},
                                     {"predecessor_served", static_cast<std::int64_t>(predecessor.served)}});
         }
@@ -389,7 +391,7 @@
             status.startedAt = bootTime().time_since_epoch() + this->storeOffset;
             co_await this->writeStatus(status);
         }
-    } else if (const auto found = shift.judge()) {
+    } else if (const auto found = shift.judge(now)) {
         this->context.log.line("version_bad",
                                {{"service", service.str()}, {"version", order.to.str()}, {"evidence", *found}});
     }
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -80,8 +80,7 @@
     const auto gaps = static_cast<std::int64_t>(this->events - 1);
     const std::string kind = this->route->name.str() + "/" + std::to_string(this->size) + "/pauses";
     this->paceJudged = true;
-    const bool slow = shift.isSlow(this->candidate, kind, (bootTime() - this->firstEventAt) * pauses / gaps);
-    shift.onAnswer(this->candidate, !slow);
+    shift.onPace(this->candidate, kind, (bootTime() - this->firstEventAt) * pauses / gaps, this->sentAt);
     this->tellEvidence(shift);
 }
 
@@ -104,9 +103,11 @@
     const bool silent = result == AttemptResult::Silent && !this->route->streams;
     if (result == AttemptResult::Failed || silent) {
         shift.onAnswer(this->candidate, false);
-    } else if (result == AttemptResult::Delivered && !this->paceJudged) {
-        const bool slow = shift.isSlow(this->candidate, kind, now - this->sentAt);
-        shift.onAnswer(this->candidate, !slow);
+    } else if (result == AttemptResult::Delivered) {
+        shift.onAnswer(this->candidate, true);
+        if (!this->route->streams) {
+            shift.onPace(this->candidate, kind, now - this->sentAt, this->sentAt);
+        }
     } else {
         return;
     }
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -371,7 +371,7 @@
         FleetReport report;
         report.crashes.push_back({Fingerprint("p"), {"a@1", "b@2"}});
         report.versions.push_back(
-            {{ServiceName("s"), VersionName("v2"), 7, 2}, {ServiceName("s"), VersionName(), 9, 1}});
+            {{ServiceName("s"), VersionName("v2"), 7, 2, {2.5, 6}}, {ServiceName("s"), VersionName(), 9, 1, {}}});
         LastReason reason;
         CPPUNIT_ASSERT(parseFleetReport(serialise(report), reason) == report);
     }
--- a/tests/unit-versionshift.cpp
+++ b/tests/unit-versionshift.cpp
@@ -2,6 +2,9 @@
 
 #include "parsleyvane/ingress/versionshift.h"
 
+#include <cmath>
+#include <random>
+
 namespace parsleyvane {
 
 namespace {
@@ -24,6 +27,25 @@
     return shift;
 }
 
+/// Times of one kind of work: their logarithms are normal, with the spread that pauses had on the simulated fleet.
+class PaceSource
+{
+public:
+    explicit PaceSource(unsigned seed)
+        : random(seed)
+    {
+    }
+
+    Milliseconds next()
+    {
+        return Milliseconds(static_cast<std::int64_t>(std::exp(this->logs(this->random))));
+    }
+
+private:
+    std::mt19937 random;
+    std::normal_distribution<double> logs{std::log(400.0), 0.5};
+};
+
 std::string session(int number)
 {
     return "session-" + std::to_string(number);
@@ -44,7 +66,13 @@
     CPPUNIT_TEST(fourBadAnswersOfAColdStartAreNotEnough);
     CPPUNIT_TEST(aGoodVersionIsNotBlamedForUsualFailures);
     CPPUNIT_TEST(evidenceOfOtherInstancesCounts);
-    CPPUNIT_TEST(aSlowVersionIsBad);
+    CPPUNIT_TEST(aVersionTwiceAsSlowIsFoundWithinTwentyAnswers);
+    CPPUNIT_TEST(aVersionWithHalfItsAnswersEightTimesAsSlowIsFound);
+    CPPUNIT_TEST(aGoodVersionIsSeldomTakenForASlowOne);
+    CPPUNIT_TEST(aFewVeryLateAnswersDecideNothing);
+    CPPUNIT_TEST(timesCountOnlyWhileTheVersionIsWatched);
+    CPPUNIT_TEST(slownessIsAddedUpOverTheInstances);
+    CPPUNIT_TEST(whatSpeaksForADoubtedVersionIsTold);
     CPPUNIT_TEST(theOutcomeDecidesForEveryInstance);
     CPPUNIT_TEST(anOldStatusDoesNotAnswerANewOrder);
     CPPUNIT_TEST(nothingIsToldOnceTheOrderHasEnded);
@@ -131,11 +159,11 @@
         for (int answer = 0; answer < usual; ++answer) {
             shift.onAnswer(false, true);
         }
-        CPPUNIT_ASSERT(!shift.judge());
+        CPPUNIT_ASSERT(!shift.judge(start));
         constexpr int answers = 20;
         for (int answer = 0; answer < answers && !shift.isBad(); ++answer) {
             shift.onAnswer(true, answer % 2 == 0);
-            shift.judge();
+            shift.judge(start);
         }
         CPPUNIT_ASSERT(shift.isBad());
         CPPUNIT_ASSERT(!shift.takesCandidate("", 0, at(0.9)));
@@ -152,7 +180,7 @@
         for (const bool good : {false, false, true, false, true, false}) {
             shift.onAnswer(true, good);
         }
-        CPPUNIT_ASSERT(!shift.judge());
+        CPPUNIT_ASSERT(!shift.judge(start));
     }
 
     void aGoodVersionIsNotBlamedForUsualFailures()
@@ -163,35 +191,132 @@
             // One in seven fails at both: a service whose application does so by itself.
             shift.onAnswer(false, answer % 7 != 0);
             shift.onAnswer(true, answer % 7 != 3);
-            CPPUNIT_ASSERT(!shift.judge());
+            CPPUNIT_ASSERT(!shift.judge(start));
         }
     }
 
     void evidenceOfOtherInstancesCounts()
     {
         VersionShift shift = running();
-        const VersionCount candidate{service, next, 40, 20};
-        const VersionCount predecessor{service, VersionName(), 400, 2};
+        const VersionCount candidate{.service = service, .version = next, .served = 40, .bad = 20};
+        const VersionCount predecessor{.service = service, .version = VersionName(), .served = 400, .bad = 2};
         shift.merge(InstanceId("other"), candidate, predecessor);
-        CPPUNIT_ASSERT(shift.judge());
+        CPPUNIT_ASSERT(shift.judge(start));
         VersionShift unrelated = running();
-        unrelated.merge(InstanceId("other"), {service, VersionName("v9"), 40, 20}, predecessor);
-        CPPUNIT_ASSERT(!unrelated.judge());
+        unrelated.merge(InstanceId("other"), {.service = service, .version = VersionName("v9"), .served = 40, .bad = 20}, predecessor);
+        CPPUNIT_ASSERT(!unrelated.judge(start));
     }
 
-    void aSlowVersionIsBad()
+    void aVersionTwiceAsSlowIsFoundWithinTwentyAnswers()
     {
         VersionShift shift = running();
-        constexpr int usual = 50;
-        for (int answer = 0; answer < usual; ++answer) {
-            CPPUNIT_ASSERT(!shift.isSlow(false, "r", Milliseconds(60)));
-        }
-        CPPUNIT_ASSERT(!shift.isSlow(true, "r", Milliseconds(240)));
-        CPPUNIT_ASSERT(shift.isSlow(true, "r", Milliseconds(480)));
-        CPPUNIT_ASSERT(!shift.isSlow(true, "unknown", Milliseconds(480)));
-        // The predecessor's own late answers count for its rate, and do not change what is usual by much.
-        CPPUNIT_ASSERT(shift.isSlow(false, "r", Milliseconds(9000)));
-        CPPUNIT_ASSERT(shift.isSlow(true, "r", Milliseconds(480)));
+        PaceSource pace(1);
+        for (int answer = 0; answer < 50; ++answer) {
+            shift.onPace(false, "r", pace.next(), start);
+        }
+        constexpr int answers = 20;
+        for (int answer = 0; answer < answers; ++answer) {
+            shift.onPace(true, "r", 2 * pace.next(), start);
+        }
+        CPPUNIT_ASSERT(!shift.judge(start));
+        CPPUNIT_ASSERT(shift.judge(start + shift.shiftLimits().confirmTime));
+        CPPUNIT_ASSERT(shift.isBad());
+    }
+
+    void aVersionWithHalfItsAnswersEightTimesAsSlowIsFound()
+    {
+        VersionShift shift = running();
+        PaceSource pace(2);
+        for (int answer = 0; answer < 50; ++answer) {
+            shift.onPace(false, "r", pace.next(), start);
+        }
+        constexpr int answers = 50;
+        for (int answer = 0; answer < answers; ++answer) {
+            shift.onPace(true, "r", (answer % 2 == 0 ? 8 : 1) * pace.next(), start);
+        }
+        shift.judge(start);
+        CPPUNIT_ASSERT(shift.judge(start + shift.shiftLimits().confirmTime));
+    }
+
+    void aGoodVersionIsSeldomTakenForASlowOne()
+    {
+        constexpr int rollouts = 1000;
+        constexpr int mostHalted = rollouts / 100;
+        int halted = 0;
+        for (int rollout = 0; rollout < rollouts; ++rollout) {
+            VersionShift shift = running();
+            PaceSource pace(100 + rollout);
+            TimePoint now = start;
+            for (int answer = 0; answer < 300 && !shift.isBad(); ++answer) {
+                shift.onPace(false, "r", pace.next(), start);
+                shift.onPace(answer % 4 == 0, "r", pace.next(), start);
+                now += Milliseconds(20);
+                shift.judge(now);
+            }
+            halted += shift.isBad() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_LESSEQUAL(mostHalted, halted);
+    }
+
+    void aFewVeryLateAnswersDecideNothing()
+    {
+        VersionShift shift = running();
+        PaceSource pace(3);
+        for (int answer = 0; answer < 50; ++answer) {
+            shift.onPace(false, "r", pace.next(), start);
+        }
+        for (int answer = 0; answer < 4; ++answer) {
+            shift.onPace(true, "r", Milliseconds(60000), start);
+        }
+        // One of a kind of work that nothing is known of.
+        shift.onPace(true, "unknown", Milliseconds(60000), start);
+        shift.judge(start);
+        CPPUNIT_ASSERT(!shift.judge(start + Milliseconds(5000)));
+    }
+
+    void timesCountOnlyWhileTheVersionIsWatched()
+    {
+        VersionShift shift = running();
+        PaceSource pace(4);
+        for (int answer = 0; answer < 50; ++answer) {
+            shift.onPace(false, "r", pace.next(), start);
+        }
+        for (int answer = 0; answer < 50; ++answer) {
+            shift.onPace(true, "r", 8 * pace.next(), at(shift.shiftLimits().rampBegin));
+        }
+        CPPUNIT_ASSERT(!shift.hasEvidence());
+    }
+
+    void slownessIsAddedUpOverTheInstances()
+    {
+        VersionShift shift = running();
+        const VersionCount slow{.service = service, .version = next, .served = 8, .pace = {5, 8}};
+        shift.merge(InstanceId("a"), slow, {});
+        shift.judge(start);
+        CPPUNIT_ASSERT(!shift.judge(start + Milliseconds(5000)));
+        shift.merge(InstanceId("b"), slow, {});
+        shift.judge(start + Milliseconds(5000));
+        CPPUNIT_ASSERT(shift.judge(start + Milliseconds(6000)));
+    }
+
+    void whatSpeaksForADoubtedVersionIsTold()
+    {
+        VersionShift shift = running();
+        PaceSource pace(5);
+        for (int answer = 0; answer < 50; ++answer) {
+            shift.onPace(false, "r", pace.next(), start);
+        }
+        for (int answer = 0; answer < 5; ++answer) {
+            shift.onPace(true, "r", pace.next(), start);
+        }
+        CPPUNIT_ASSERT(!shift.hasEvidence());
+        shift.merge(InstanceId("a"), {.service = service, .version = next, .served = 8, .pace = {8, 8}}, {});
+        CPPUNIT_ASSERT(shift.hasEvidence());
+        CPPUNIT_ASSERT(shift.counts().first.pace.logOdds < 0);
+        shift.judge(start);
+        // The other instance's report is answered before it counts.
+        shift.merge(InstanceId("b"), {.service = service, .version = next, .served = 8, .pace = {-4, 8}}, {});
+        CPPUNIT_ASSERT(!shift.judge(start + shift.shiftLimits().confirmTime));
     }
 
     void theOutcomeDecidesForEveryInstance()
