Count failures of answers that may run only once against their version

Cause: an answer with status 500 to a request that may run only once is passed on as it came and was then learnt as delivered, so a new version of such a service could fail half of its requests without a trace.

Test first: aRunOnceFailureIsEvidenceAgainstAVersion, 0 for 1 before.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -120,6 +120,7 @@
     std::string trail; ///< the attempts so far, for the log
     Fingerprint fingerprintValue;
     HttpCall *call = nullptr; ///< the connection in use
+    bool upstreamFailed = false; ///< this attempt's answer was read whole and tells of a failure
     bool paceJudged = false; ///< this attempt's pauses were compared with the usual ones
     bool gone = false;
     bool answered = false;
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -157,6 +157,7 @@
     this->firstEventAt = TimePoint();
     this->events = 0;
     this->paceJudged = false;
+    this->upstreamFailed = false;
     ++this->sendings;
     ++this->runs;
     // From the first byte on it may run, whatever comes back.
@@ -237,7 +238,8 @@
         // It may have run, so the promise that goes with such a status must not reach the client.
         co_return AttemptResult::BadData;
     }
-    if (answer.status >= statusServerError && this->isRepeatable()) {
+    this->upstreamFailed = answer.status >= statusServerError;
+    if (this->upstreamFailed && this->isRepeatable()) {
         this->held = std::move(answer);
         co_return AttemptResult::Failed;
     }
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -104,8 +104,9 @@
     if (result == AttemptResult::Failed || silent) {
         shift.onAnswer(this->candidate, false);
     } else if (result == AttemptResult::Delivered) {
-        shift.onAnswer(this->candidate, true);
-        if (!this->route->streams) {
+        // What may run only once is passed on as it came, failures too.
+        shift.onAnswer(this->candidate, !this->upstreamFailed);
+        if (!this->route->streams && !this->upstreamFailed) {
             shift.onPace(this->candidate, kind, now - this->sentAt, this->sentAt);
         }
     } else {
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -173,6 +173,16 @@
                                .services = {{ServiceName("s"), 1}}});
     }
 
+    /// @brief Begins a roll-out of the service "s".
+    VersionShift &rollOut()
+    {
+        VersionShift &shift = shiftOf(this->context, ServiceName("s"));
+        shift.onOrder(
+            {.service = ServiceName("s"), .to = VersionName("v2"), .duration = Milliseconds(10000), .number = 1});
+        shift.onStatus({.service = ServiceName("s"), .to = VersionName("v2"), .order = 1}, bootTime());
+        return shift;
+    }
+
     /// @brief Sends raw bytes on one connection and returns all that comes until its end, or for a while.
     std::string exchange(const std::string &bytes, Milliseconds patience = Milliseconds(2000))
     {
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(aStreamGoesOnAfterItsLastWholeEvent);
     CPPUNIT_TEST(aBegunStreamGoesOnWithoutBudget);
     CPPUNIT_TEST(aLateFirstEventIsNoEvidenceAgainstAVersion);
+    CPPUNIT_TEST(aRunOnceFailureIsEvidenceAgainstAVersion);
     CPPUNIT_TEST(aStreamThatMayNotResumeBreaksVisibly);
     CPPUNIT_TEST(aMissingEventNeverPasses);
     CPPUNIT_TEST(aSilentUpstreamIsLeftInTime);
@@ -270,15 +271,24 @@
         ForwardRig rig;
         rig.route("stream", Repeatability::Resumable, true);
         rig.upstream("u", {{"", true, true}});
-        VersionShift &shift = shiftOf(rig.context, ServiceName("s"));
-        shift.onOrder(
-            {.service = ServiceName("s"), .to = VersionName("v1"), .duration = Milliseconds(1000), .number = 1});
-        shift.onStatus({.service = ServiceName("s"), .to = VersionName("v1"), .order = 1}, bootTime());
+        VersionShift &shift = rig.rollOut();
         rig.exchange(ask("/stream/"));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, shift.counts().first.bad);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, shift.counts().second.bad);
     }
 
+    void aRunOnceFailureIsEvidenceAgainstAVersion()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        rig.upstream("u", {{reply(500, "failed")}});
+        VersionShift &shift = rig.rollOut();
+        CPPUNIT_ASSERT(rig.exchange(ask("/once/x")).starts_with("HTTP/1.1 500"));
+        const VersionCount predecessor = shift.counts().second;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, predecessor.served);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, predecessor.bad);
+    }
+
     void aStreamThatMayNotResumeBreaksVisibly()
     {
         ForwardRig rig;
--- a/tests/unit-versionshift.cpp
+++ b/tests/unit-versionshift.cpp
@@ -203,7 +203,8 @@
         shift.merge(InstanceId("other"), candidate, predecessor);
         CPPUNIT_ASSERT(shift.judge(start));
         VersionShift unrelated = running();
-        unrelated.merge(InstanceId("other"), {.service = service, .version = VersionName("v9"), .served = 40, .bad = 20}, predecessor);
+        unrelated.merge(InstanceId("other"),
+                        {.service = service, .version = VersionName("v9"), .served = 40, .bad = 20}, predecessor);
         CPPUNIT_ASSERT(!unrelated.judge(start));
     }
 
