Judge each route of a new version by itself, and two sorts of slowness

Each route is now judged by itself as well as all together; what an instance tells the others is its counts by route. 2. The pace test with its bounds of +-1.5 for an answer gave nothing for a version half of whose answers are slow (the quick half cancelled it). A mixture alone (half slow) missed versions that are slow in all. Both tests run; each has half of the false-alarm odds. 3. Six events were late for streams at a slow version: 18 of 73 requests could be judged before the part rose. Four are enough. 4. Answers before an instance knew 10 of the predecessor's did not count; what is usual is now learnt before an order comes, too.

--- a/include/parsleyvane/core/ids.h
+++ b/include/parsleyvane/core/ids.h
@@ -125,6 +125,8 @@
 using TaskName = StrongId<struct TaskTag>;
 /// @brief A plain service.
 using ServiceName = StrongId<struct ServiceTag>;
+/// @brief A rule that maps a host and path to services.
+using RouteName = StrongId<struct RouteTag>;
 /// @brief The caller's own key for a request that it may send again.
 using IdempotencyKey = StrongId<struct IdempotencyTag>;
 
--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -78,6 +78,7 @@
     void noteStore(const Reader &reader, bool answers, const std::string &detail);
     void noteTime(const TableSnapshot &snapshot);
     TimePoint localTime(Milliseconds storeTime) const;
+    void logEvidence(const InstanceId &from, const VersionReport &version);
     FleetReport report() const;
 
     ForwardContext &context;
--- a/include/parsleyvane/ingress/fleetreport.h
+++ b/include/parsleyvane/ingress/fleetreport.h
@@ -9,7 +9,6 @@
 
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace parsleyvane {
@@ -18,8 +17,7 @@
 struct FleetReport
 {
     std::vector<CrashReport> crashes;
-    /// @brief For each roll-out with bad answers: the new version's counts and the old one's.
-    std::vector<std::pair<VersionCount, VersionCount>> versions;
+    std::vector<VersionReport> versions; ///< of roll-outs whose new version looks worse
 
     friend bool operator==(const FleetReport &, const FleetReport &) = default;
 };
--- a/include/parsleyvane/ingress/routetable.h
+++ b/include/parsleyvane/ingress/routetable.h
@@ -16,9 +16,6 @@
 
 namespace parsleyvane {
 
-/// @brief A route's name.
-using RouteName = StrongId<struct RouteTag>;
-
 /// @brief What may be repeated.
 enum class Repeatability {
     Always, ///< may run more than once
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -42,16 +42,24 @@
     friend bool operator==(const RolloutStatus &, const RolloutStatus &) = default;
 };
 
-/// @brief Answers of one version at one instance since its start; they only rise.
-struct VersionCount
+/// @brief Answers on one route since the order came; they only rise.
+struct RouteAnswers
+{
+    AnswerCounts candidate;
+    AnswerCounts predecessor;
+
+    friend bool operator==(const RouteAnswers &, const RouteAnswers &) = default;
+};
+
+/// @brief What one instance has seen of a new version.
+struct VersionReport
 {
     ServiceName service;
     VersionName version;
-    std::uint64_t served = 0;
-    std::uint64_t bad = 0;
-    PaceEvidence pace; ///< of the new version only
+    std::map<RouteName, RouteAnswers> routes;
+    PaceEvidence pace;
 
-    friend bool operator==(const VersionCount &, const VersionCount &) = default;
+    friend bool operator==(const VersionReport &, const VersionReport &) = default;
 };
 
 /// @brief Tunable values of VersionShift.
@@ -99,13 +107,15 @@
     /// @brief Chooses the version for a request and remembers it for the session.
     bool takesCandidate(const std::string &session, double draw, TimePoint now);
     /// @brief An answer was given. @param candidate by the new version @param good whether it is what was asked for
-    void onAnswer(bool candidate, bool good);
-    /// @brief How long an answer of a kind of work took; counts only while the new version is watched, since the load
-    /// of both changes once traffic moves. @param sentAt when the request was sent
+    void onAnswer(const RouteName &route, bool candidate, bool good);
+    /// @brief How long an answer of a kind of work took. Outside a roll-out all answers tell what is usual; within one
+    /// they count only while the new version is watched, since the load of both changes once traffic moves.
+    /// @param sentAt when the request was sent
     void onPace(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
-    /// @brief Counts of another instance, the new version's and the old one's.
-    void merge(const InstanceId &from, const VersionCount &candidate, const VersionCount &predecessor);
-    /// @brief Looks at all counts; once the version is found bad, it stays so.
+    /// @brief What another instance has seen.
+    void merge(const InstanceId &from, const VersionReport &report);
+    /// @brief Looks at all evidence; once the version is found bad, it stays so. Each route is judged by itself too,
+    /// since a version may fail on one only, and another may fail by itself. Complexity: instances by routes.
     /// @return why the version is bad, at the moment that this is found
     std::optional<std::string> judge(TimePoint now);
     /// @brief Forgets sessions that are over. Complexity: linear.
@@ -131,8 +141,8 @@
     bool maySettle(TimePoint now) const;
     /// @brief Whether this instance has evidence worth telling the others.
     bool hasEvidence() const noexcept;
-    /// @brief This instance's counts: the new version's and the old one's.
-    std::pair<VersionCount, VersionCount> counts() const;
+    /// @brief What this instance has seen.
+    VersionReport report() const;
     const ShiftLimits &shiftLimits() const noexcept
     {
         return this->limits;
@@ -145,16 +155,9 @@
         TimePoint at{};
     };
 
-    /// What an instance has seen, or all of them.
-    struct Evidence
-    {
-        AnswerCounts candidate;
-        AnswerCounts predecessor;
-        PaceEvidence pace;
-    };
-
     double share(TimePoint now) const;
-    Evidence totals() const;
+    VersionReport totals() const;
+    std::optional<std::string> judgeAnswers(const std::map<RouteName, RouteAnswers> &routes);
     bool hasPaceEvidence() const noexcept;
     std::optional<std::string> judgePace(const PaceEvidence &pace, TimePoint now);
 
@@ -163,12 +166,12 @@
     std::optional<RolloutStatus> status;
     TimePoint startedAt{};
     std::map<std::string, Seen> sessions;
-    AnswerCounts ownCandidate;
-    AnswerCounts ownPredecessor;
-    std::map<InstanceId, Evidence> others;
+    std::map<RouteName, RouteAnswers> own;
+    std::map<InstanceId, VersionReport> others;
     PaceTest paceTest;
     std::optional<TimePoint> slowSince; ///< the merged evidence says slow since then
-    VersionJudge versionJudge;
+    VersionJudge allRoutes;
+    std::map<RouteName, VersionJudge> eachRoute;
     bool bad = false;
 };
 
--- a/include/parsleyvane/rollout/versionjudge.h
+++ b/include/parsleyvane/rollout/versionjudge.h
@@ -23,6 +23,8 @@
 {
     std::uint64_t served = 0;
     std::uint64_t bad = 0;
+
+    friend bool operator==(const AnswerCounts &, const AnswerCounts &) = default;
 };
 
 /// @brief Counters at one upstream, summed over the instances; they only rise.
--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -8,24 +8,39 @@
 
 namespace {
 
-Json countJson(const VersionCount &count)
+Json countJson(const AnswerCounts &counts)
 {
-    return Json{{"service", count.service.str()},
-                {"version", count.version.str()},
-                {"served", count.served},
-                {"bad", count.bad},
-                {"paceAnswers", count.pace.answers},
-                {"paceLogOdds", count.pace.logOdds}};
+    return Json::array({counts.served, counts.bad});
 }
 
-VersionCount readCount(const Json &json)
+AnswerCounts readCount(const Json &json)
 {
-    return {.service = ServiceName(json.at("service").get<std::string>()),
-            .version = VersionName(json.at("version").get<std::string>()),
-            .served = json.at("served").get<std::uint64_t>(),
-            .bad = json.at("bad").get<std::uint64_t>(),
-            .pace = {.logOdds = json.at("paceLogOdds").get<double>(),
-                     .answers = json.at("paceAnswers").get<std::uint64_t>()}};
+    return {json.at(0).get<std::uint64_t>(), json.at(1).get<std::uint64_t>()};
+}
+
+Json versionJson(const VersionReport &version)
+{
+    Json routes = Json::object();
+    for (const auto &[route, answers] : version.routes) {
+        routes[route.str()] = Json::array({countJson(answers.candidate), countJson(answers.predecessor)});
+    }
+    return Json{{"service", version.service.str()}, {"version", version.version.str()},
+                {"routes", std::move(routes)},      {"paceAnswers", version.pace.answers},
+                {"allSlow", version.pace.allSlow},  {"someSlow", version.pace.someSlow}};
+}
+
+VersionReport readVersion(const Json &json)
+{
+    VersionReport version{.service = ServiceName(json.at("service").get<std::string>()),
+                          .version = VersionName(json.at("version").get<std::string>()),
+                          .routes = {},
+                          .pace = {.allSlow = json.at("allSlow").get<double>(),
+                                   .someSlow = json.at("someSlow").get<double>(),
+                                   .answers = json.at("paceAnswers").get<std::uint64_t>()}};
+    for (const auto &[route, answers] : json.at("routes").items()) {
+        version.routes[RouteName(route)] = {readCount(answers.at(0)), readCount(answers.at(1))};
+    }
+    return version;
 }
 
 FleetReport readReport(const Json &json)
@@ -36,7 +51,7 @@
             {Fingerprint(crash.at("print").get<std::string>()), crash.at("sites").get<std::set<std::string>>()});
     }
     for (const Json &version : json.at("versions")) {
-        report.versions.emplace_back(readCount(version.at(0)), readCount(version.at(1)));
+        report.versions.push_back(readVersion(version));
     }
     return report;
 }
@@ -49,8 +64,8 @@
     for (const CrashReport &crash : report.crashes) {
         json["crashes"].push_back(Json{{"print", crash.print.str()}, {"sites", crash.sites}});
     }
-    for (const auto &[candidate, predecessor] : report.versions) {
-        json["versions"].push_back(Json::array({countJson(candidate), countJson(predecessor)}));
+    for (const VersionReport &version : report.versions) {
+        json["versions"].push_back(versionJson(version));
     }
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
--- a/src/core/ingress/pacetest.cpp
+++ b/src/core/ingress/pacetest.cpp
@@ -37,12 +37,19 @@
     }
     const double variance = std::max(known->second.variance, this->limits.leastSpread * this->limits.leastSpread);
     const double off = logOf(took) - known->second.mean;
-    const double logOdds = this->limits.slowShift / variance * (off - this->limits.slowShift / 2);
-    this->found.logOdds += std::clamp(logOdds, -this->limits.mostEvidence, this->limits.mostEvidence);
-    this->found.logOdds = std::max(this->found.logOdds, -this->limits.mostCredit);
+    const double ofSlow = this->limits.slowShift / variance * (off - this->limits.slowShift / 2);
+    const double ofMixture = std::log(1 - this->limits.slowPart + this->limits.slowPart * std::exp(ofSlow));
+    this->add(this->found.allSlow, ofSlow);
+    this->add(this->found.someSlow, ofMixture);
     ++this->found.answers;
 }
 
+void PaceTest::add(double &sum, double logOdds) const
+{
+    sum += std::clamp(logOdds, this->limits.leastEvidence, this->limits.mostEvidence);
+    sum = std::max(sum, -this->limits.mostCredit);
+}
+
 void PaceTest::restart()
 {
     this->found = {};
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -41,11 +41,34 @@
     sum.bad += counts.bad;
 }
 
+void addTo(RouteAnswers &sum, const RouteAnswers &answers)
+{
+    addTo(sum.candidate, answers.candidate);
+    addTo(sum.predecessor, answers.predecessor);
+}
+
+RouteAnswers sumOf(const std::map<RouteName, RouteAnswers> &routes)
+{
+    RouteAnswers sum;
+    for (const auto &[route, answers] : routes) {
+        addTo(sum, answers);
+    }
+    return sum;
+}
+
+/// Why the answers speak against the new version; empty while they do not.
+std::string haltReason(VersionJudge &judge, const RouteAnswers &answers)
+{
+    const VersionVerdict verdict = judge.judge({evidenceOf(answers.candidate), evidenceOf(answers.predecessor), {}});
+    const auto *halt = std::get_if<HaltVersion>(&verdict);
+    return halt != nullptr ? halt->reason : std::string();
+}
+
 } // namespace
 
 VersionShift::VersionShift(ShiftLimits limits)
     : limits(limits)
-    , versionJudge(judgeLimits(limits.falseHalts))
+    , allRoutes(judgeLimits(limits.falseHalts))
 {
 }
 
@@ -60,11 +83,12 @@
         return false;
     }
     this->current = newOrder;
-    this->ownCandidate = {};
+    this->own.clear();
     this->others.clear();
     this->paceTest.restart();
     this->slowSince.reset();
-    this->versionJudge = VersionJudge(judgeLimits(this->limits.falseHalts));
+    this->eachRoute.clear();
+    this->allRoutes = VersionJudge(judgeLimits(this->limits.falseHalts));
     this->bad = false;
     if (this->status && this->status->order != newOrder.number) {
         this->status.reset();
@@ -145,9 +169,13 @@
     return seen.candidate;
 }
 
-void VersionShift::onAnswer(bool candidate, bool good)
+void VersionShift::onAnswer(const RouteName &route, bool candidate, bool good)
 {
-    AnswerCounts &counts = candidate ? this->ownCandidate : this->ownPredecessor;
+    if (!this->current) {
+        return;
+    }
+    RouteAnswers &answers = this->own[route];
+    AnswerCounts &counts = candidate ? answers.candidate : answers.predecessor;
     ++counts.served;
     counts.bad += good ? 0 : 1;
 }
@@ -155,33 +183,32 @@
 void VersionShift::onPace(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt)
 {
     const auto passed = this->progress(sentAt);
-    if (!passed || *passed >= this->limits.rampBegin) {
+    if (passed && *passed >= this->limits.rampBegin) {
         return;
     }
-    if (candidate) {
+    if (passed && candidate) {
         this->paceTest.onCandidate(kind, took);
     } else {
         this->paceTest.onPredecessor(kind, took);
     }
 }
 
-void VersionShift::merge(const InstanceId &from, const VersionCount &candidate, const VersionCount &predecessor)
+void VersionShift::merge(const InstanceId &from, const VersionReport &report)
 {
-    if (this->current && candidate.version == this->current->to) {
-        this->others[from] = {.candidate = {candidate.served, candidate.bad},
-                              .predecessor = {predecessor.served, predecessor.bad},
-                              .pace = candidate.pace};
+    if (this->current && report.version == this->current->to) {
+        this->others[from] = report;
     }
 }
 
-VersionShift::Evidence VersionShift::totals() const
+VersionReport VersionShift::totals() const
 {
-    Evidence sum{
-        .candidate = this->ownCandidate, .predecessor = this->ownPredecessor, .pace = this->paceTest.evidence()};
+    VersionReport sum = this->report();
     for (const auto &[from, told] : this->others) {
-        addTo(sum.candidate, told.candidate);
-        addTo(sum.predecessor, told.predecessor);
-        sum.pace.logOdds += told.pace.logOdds;
+        for (const auto &[route, answers] : told.routes) {
+            addTo(sum.routes[route], answers);
+        }
+        sum.pace.allSlow += told.pace.allSlow;
+        sum.pace.someSlow += told.pace.someSlow;
         sum.pace.answers += told.pace.answers;
     }
     return sum;
@@ -192,19 +219,32 @@
     if (this->bad || this->state() != RolloutState::Running) {
         return std::nullopt;
     }
-    const Evidence sum = this->totals();
-    const VersionVerdict verdict
-        = this->versionJudge.judge({evidenceOf(sum.candidate), evidenceOf(sum.predecessor), {}});
-    if (const auto *halt = std::get_if<HaltVersion>(&verdict)) {
-        this->bad = true;
-        return halt->reason;
+    const VersionReport sum = this->totals();
+    auto reason = this->judgeAnswers(sum.routes);
+    if (!reason) {
+        reason = this->judgePace(sum.pace, now);
+    }
+    this->bad = reason.has_value();
+    return reason;
+}
+
+std::optional<std::string> VersionShift::judgeAnswers(const std::map<RouteName, RouteAnswers> &routes)
+{
+    std::string reason = haltReason(this->allRoutes, sumOf(routes));
+    for (const auto &[route, answers] : routes) {
+        VersionJudge &judge = this->eachRoute.try_emplace(route, judgeLimits(this->limits.falseHalts)).first->second;
+        const std::string here = haltReason(judge, answers);
+        if (reason.empty() && !here.empty()) {
+            reason = route.str() + ": " + here;
+        }
     }
-    return this->judgePace(sum.pace, now);
+    return reason.empty() ? std::nullopt : std::optional(reason);
 }
 
 std::optional<std::string> VersionShift::judgePace(const PaceEvidence &pace, TimePoint now)
 {
-    if (pace.logOdds < std::log(1 / this->limits.falseHalts)) {
+    constexpr double tests = 2;
+    if (pace.logOdds() < std::log(tests / this->limits.falseHalts)) {
         this->slowSince.reset();
         return std::nullopt;
     }
@@ -214,10 +254,9 @@
     if (now - *this->slowSince < this->limits.confirmTime) {
         return std::nullopt;
     }
-    this->bad = true;
     std::ostringstream reason;
     reason << "slower than its predecessor over " << pace.answers << " answers, log-odds " << std::setprecision(3)
-           << pace.logOdds;
+           << pace.logOdds();
     return reason.str();
 }
 
@@ -241,34 +280,30 @@
     if (this->state() != RolloutState::Running) {
         return false;
     }
-    return (this->ownCandidate.bad >= leastBad && this->ownCandidate.bad * usualServed >= this->ownCandidate.served)
-        || this->hasPaceEvidence();
+    const AnswerCounts counts = sumOf(this->own).candidate;
+    return (counts.bad >= leastBad && counts.bad * usualServed >= counts.served) || this->hasPaceEvidence();
 }
 
 bool VersionShift::hasPaceEvidence() const noexcept
 {
-    // Somewhat more than one answer can give.
-    constexpr double leastTold = 2;
+    // Below what one slow answer gives.
+    constexpr double leastTold = 1;
     const PaceEvidence &own = this->paceTest.evidence();
     // What speaks for the version counts once anyone has spoken against it.
     const bool doubted = std::any_of(this->others.begin(), this->others.end(),
-                                     [](const auto &entry) { return entry.second.pace.logOdds > 0; });
-    return own.logOdds >= leastTold || (doubted && own.answers > 0);
+                                     [](const auto &entry) { return entry.second.pace.logOdds() > 0; });
+    return own.logOdds() >= leastTold || (doubted && own.answers > 0);
 }
 
-std::pair<VersionCount, VersionCount> VersionShift::counts() const
+VersionReport VersionShift::report() const
 {
     if (!this->current) {
         return {};
     }
-    const VersionCount candidate{.service = this->current->service,
-                                 .version = this->current->to,
-                                 .served = this->ownCandidate.served,
-                                 .bad = this->ownCandidate.bad,
-                                 .pace = this->paceTest.evidence()};
-    const VersionCount predecessor{
-        .service = this->current->service, .served = this->ownPredecessor.served, .bad = this->ownPredecessor.bad};
-    return {candidate, predecessor};
+    return {.service = this->current->service,
+            .version = this->current->to,
+            .routes = this->own,
+            .pace = this->paceTest.evidence()};
 }
 
 } // namespace parsleyvane
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -308,28 +308,36 @@
             continue;
         }
         this->context.beliefs.crashes.merge(told->crashes, now);
-        for (const auto &[candidate, predecessor] : told->versions) {
-            shiftOf(this->context, candidate.service).merge(from, candidate, predecessor);
-            this->context.log.line("evidence",
-                                   {{"from", from.str()},
-                                    {"service", candidate.service.str()},
-                                    {"version", candidate.version.str()},
-                                    {"bad", static_cast<std::int64_t>(candidate.bad)},
-                                    {"served", static_cast<std::int64_t>(candidate.served)},
-                                    {"pace_answers", static_cast<std::int64_t>(candidate.pace.answers)},
-                                    {"pace_log_odds", std::to_string(candidate.pace.logOdds)},
-                                    {"predecessor_bad", static_cast<std::int64_t>(predecessor.bad)},
-                                    {"predecessor_served", static_cast<std::int64_t>(predecessor.served)}});
+        for (const VersionReport &version : told->versions) {
+            shiftOf(this->context, version.service).merge(from, version);
+            this->logEvidence(from, version);
         }
     }
 }
 
+void FleetSync::logEvidence(const InstanceId &from, const VersionReport &version)
+{
+    for (const auto &[route, answers] : version.routes) {
+        this->context.log.line("evidence",
+                               {{"from", from.str()},
+                                {"service", version.service.str()},
+                                {"version", version.version.str()},
+                                {"route", route.str()},
+                                {"bad", static_cast<std::int64_t>(answers.candidate.bad)},
+                                {"served", static_cast<std::int64_t>(answers.candidate.served)},
+                                {"predecessor_bad", static_cast<std::int64_t>(answers.predecessor.bad)},
+                                {"predecessor_served", static_cast<std::int64_t>(answers.predecessor.served)},
+                                {"pace_answers", static_cast<std::int64_t>(version.pace.answers)},
+                                {"pace_log_odds", std::to_string(version.pace.logOdds())}});
+    }
+}
+
 FleetReport FleetSync::report() const
 {
     FleetReport told{.crashes = this->context.beliefs.crashes.report()};
     for (const auto &[service, shift] : this->context.beliefs.shifts) {
         if (shift.hasEvidence()) {
-            told.versions.push_back(shift.counts());
+            told.versions.push_back(shift.report());
         }
     }
     return told;
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -70,9 +70,9 @@
 void ForwardedRequest::judgePace()
 {
     // A slow version shows in the pauses long before its answers end.
-    constexpr std::uint64_t sampledEvents = 6;
+    constexpr std::uint64_t sampledEvents = 4;
     VersionShift &shift = shiftOf(this->context, this->service);
-    if (this->paceJudged || this->events < sampledEvents || !shift.order()) {
+    if (this->paceJudged || this->events < sampledEvents) {
         return;
     }
     // Ten pauses, since one is only some ms long.
@@ -94,18 +94,15 @@
 void ForwardedRequest::learnVersion(AttemptResult result)
 {
     VersionShift &shift = shiftOf(this->context, this->service);
-    if (!shift.order()) {
-        return;
-    }
     const TimePoint now = bootTime();
     const std::string kind = this->route->name.str() + "/" + std::to_string(this->size);
     // A late first event speaks of the upstream's queue, not of its version.
     const bool silent = result == AttemptResult::Silent && !this->route->streams;
     if (result == AttemptResult::Failed || silent) {
-        shift.onAnswer(this->candidate, false);
+        shift.onAnswer(this->route->name, this->candidate, false);
     } else if (result == AttemptResult::Delivered) {
         // What may run only once is passed on as it came, failures too.
-        shift.onAnswer(this->candidate, !this->upstreamFailed);
+        shift.onAnswer(this->route->name, this->candidate, !this->upstreamFailed);
         if (!this->route->streams && !this->upstreamFailed) {
             shift.onPace(this->candidate, kind, now - this->sentAt, this->sentAt);
         }
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -370,8 +370,10 @@
     {
         FleetReport report;
         report.crashes.push_back({Fingerprint("p"), {"a@1", "b@2"}});
-        report.versions.push_back(
-            {{ServiceName("s"), VersionName("v2"), 7, 2, {2.5, 6}}, {ServiceName("s"), VersionName(), 9, 1, {}}});
+        report.versions.push_back({ServiceName("s"),
+                                   VersionName("v2"),
+                                   {{RouteName("r"), {{7, 2}, {9, 1}}}},
+                                   {.allSlow = 2.5, .someSlow = 1.5, .answers = 6}});
         LastReason reason;
         CPPUNIT_ASSERT(parseFleetReport(serialise(report), reason) == report);
     }
--- a/tests/unit-net-fleetsync.cpp
+++ b/tests/unit-net-fleetsync.cpp
@@ -354,10 +354,10 @@
         const ServiceName service("s");
         CPPUNIT_ASSERT(rig.until([&]() { return shiftOf(one, service).state() == RolloutState::Running; }));
         for (int answer = 0; answer < 100; ++answer) {
-            shiftOf(one, service).onAnswer(false, true);
+            shiftOf(one, service).onAnswer(RouteName("r"), false, true);
         }
         for (int answer = 0; answer < 10; ++answer) {
-            shiftOf(one, service).onAnswer(true, false);
+            shiftOf(one, service).onAnswer(RouteName("r"), true, false);
         }
         CPPUNIT_ASSERT(rig.until([&]() { return shiftOf(two, service).state() == RolloutState::RolledBack; }));
     }
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -273,8 +273,7 @@
         rig.upstream("u", {{"", true, true}});
         VersionShift &shift = rig.rollOut();
         rig.exchange(ask("/stream/"));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, shift.counts().first.bad);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, shift.counts().second.bad);
+        CPPUNIT_ASSERT(shift.report().routes.empty());
     }
 
     void aRunOnceFailureIsEvidenceAgainstAVersion()
@@ -284,7 +283,7 @@
         rig.upstream("u", {{reply(500, "failed")}});
         VersionShift &shift = rig.rollOut();
         CPPUNIT_ASSERT(rig.exchange(ask("/once/x")).starts_with("HTTP/1.1 500"));
-        const VersionCount predecessor = shift.counts().second;
+        const AnswerCounts predecessor = shift.report().routes.at(RouteName("once")).predecessor;
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, predecessor.served);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, predecessor.bad);
     }
--- a/tests/unit-versionshift.cpp
+++ b/tests/unit-versionshift.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds duration{20000};
 const ServiceName service("s");
 const VersionName next("v2");
+const RouteName route("r");
 
 TimePoint at(double part)
 {
@@ -66,11 +67,13 @@
     CPPUNIT_TEST(fourBadAnswersOfAColdStartAreNotEnough);
     CPPUNIT_TEST(aGoodVersionIsNotBlamedForUsualFailures);
     CPPUNIT_TEST(evidenceOfOtherInstancesCounts);
+    CPPUNIT_TEST(errorsOnOneRouteAreFoundBesideARouteThatFailsByItself);
     CPPUNIT_TEST(aVersionTwiceAsSlowIsFoundWithinTwentyAnswers);
     CPPUNIT_TEST(aVersionWithHalfItsAnswersEightTimesAsSlowIsFound);
     CPPUNIT_TEST(aGoodVersionIsSeldomTakenForASlowOne);
     CPPUNIT_TEST(aFewVeryLateAnswersDecideNothing);
     CPPUNIT_TEST(timesCountOnlyWhileTheVersionIsWatched);
+    CPPUNIT_TEST(whatIsUsualIsKnownBeforeTheOrder);
     CPPUNIT_TEST(slownessIsAddedUpOverTheInstances);
     CPPUNIT_TEST(whatSpeaksForADoubtedVersionIsTold);
     CPPUNIT_TEST(theOutcomeDecidesForEveryInstance);
@@ -157,12 +160,12 @@
         VersionShift shift = running();
         constexpr int usual = 100;
         for (int answer = 0; answer < usual; ++answer) {
-            shift.onAnswer(false, true);
+            shift.onAnswer(route, false, true);
         }
         CPPUNIT_ASSERT(!shift.judge(start));
         constexpr int answers = 20;
         for (int answer = 0; answer < answers && !shift.isBad(); ++answer) {
-            shift.onAnswer(true, answer % 2 == 0);
+            shift.onAnswer(route, true, answer % 2 == 0);
             shift.judge(start);
         }
         CPPUNIT_ASSERT(shift.isBad());
@@ -175,10 +178,10 @@
         VersionShift shift = running();
         constexpr int usual = 100;
         for (int answer = 0; answer < usual; ++answer) {
-            shift.onAnswer(false, true);
+            shift.onAnswer(route, false, true);
         }
         for (const bool good : {false, false, true, false, true, false}) {
-            shift.onAnswer(true, good);
+            shift.onAnswer(route, true, good);
         }
         CPPUNIT_ASSERT(!shift.judge(start));
     }
@@ -189,8 +192,8 @@
         constexpr int answers = 2000;
         for (int answer = 0; answer < answers; ++answer) {
             // One in seven fails at both: a service whose application does so by itself.
-            shift.onAnswer(false, answer % 7 != 0);
-            shift.onAnswer(true, answer % 7 != 3);
+            shift.onAnswer(route, false, answer % 7 != 0);
+            shift.onAnswer(route, true, answer % 7 != 3);
             CPPUNIT_ASSERT(!shift.judge(start));
         }
     }
@@ -198,16 +201,34 @@
     void evidenceOfOtherInstancesCounts()
     {
         VersionShift shift = running();
-        const VersionCount candidate{.service = service, .version = next, .served = 40, .bad = 20};
-        const VersionCount predecessor{.service = service, .version = VersionName(), .served = 400, .bad = 2};
-        shift.merge(InstanceId("other"), candidate, predecessor);
+        const VersionReport report{
+            .service = service, .version = next, .routes = {{route, {{40, 20}, {400, 2}}}}, .pace = {}};
+        shift.merge(InstanceId("other"), report);
         CPPUNIT_ASSERT(shift.judge(start));
         VersionShift unrelated = running();
-        unrelated.merge(InstanceId("other"),
-                        {.service = service, .version = VersionName("v9"), .served = 40, .bad = 20}, predecessor);
+        VersionReport older = report;
+        older.version = VersionName("v9");
+        unrelated.merge(InstanceId("other"), older);
         CPPUNIT_ASSERT(!unrelated.judge(start));
     }
 
+    void errorsOnOneRouteAreFoundBesideARouteThatFailsByItself()
+    {
+        VersionShift shift = running();
+        const RouteName failing("failing");
+        for (int answer = 0; answer < 400; ++answer) {
+            shift.onAnswer(route, false, true);
+            shift.onAnswer(failing, false, answer % 3 != 0);
+        }
+        constexpr int answers = 16;
+        for (int answer = 0; answer < answers; ++answer) {
+            shift.onAnswer(route, true, answer % 2 == 0);
+            shift.onAnswer(failing, true, answer % 3 != 0);
+            shift.judge(start);
+        }
+        CPPUNIT_ASSERT(shift.isBad());
+    }
+
     void aVersionTwiceAsSlowIsFoundWithinTwentyAnswers()
     {
         VersionShift shift = running();
@@ -231,7 +252,7 @@
         for (int answer = 0; answer < 50; ++answer) {
             shift.onPace(false, "r", pace.next(), start);
         }
-        constexpr int answers = 50;
+        constexpr int answers = 30;
         for (int answer = 0; answer < answers; ++answer) {
             shift.onPace(true, "r", (answer % 2 == 0 ? 8 : 1) * pace.next(), start);
         }
@@ -288,14 +309,31 @@
         CPPUNIT_ASSERT(!shift.hasEvidence());
     }
 
+    void whatIsUsualIsKnownBeforeTheOrder()
+    {
+        VersionShift shift;
+        PaceSource pace(6);
+        for (int answer = 0; answer < 20; ++answer) {
+            shift.onPace(false, "r", pace.next(), start);
+        }
+        shift.onOrder({.service = service, .to = next, .duration = duration, .number = 7});
+        shift.onStatus({.service = service, .to = next, .order = 7}, start);
+        for (int answer = 0; answer < 20; ++answer) {
+            shift.onPace(true, "r", 2 * pace.next(), at(0.1));
+        }
+        shift.judge(at(0.2));
+        CPPUNIT_ASSERT(shift.judge(at(0.3)));
+    }
+
     void slownessIsAddedUpOverTheInstances()
     {
         VersionShift shift = running();
-        const VersionCount slow{.service = service, .version = next, .served = 8, .pace = {5, 8}};
-        shift.merge(InstanceId("a"), slow, {});
+        const VersionReport slow{
+            .service = service, .version = next, .routes = {}, .pace = {.allSlow = 5, .answers = 8}};
+        shift.merge(InstanceId("a"), slow);
         shift.judge(start);
         CPPUNIT_ASSERT(!shift.judge(start + Milliseconds(5000)));
-        shift.merge(InstanceId("b"), slow, {});
+        shift.merge(InstanceId("b"), slow);
         shift.judge(start + Milliseconds(5000));
         CPPUNIT_ASSERT(shift.judge(start + Milliseconds(6000)));
     }
@@ -311,12 +349,14 @@
             shift.onPace(true, "r", pace.next(), start);
         }
         CPPUNIT_ASSERT(!shift.hasEvidence());
-        shift.merge(InstanceId("a"), {.service = service, .version = next, .served = 8, .pace = {8, 8}}, {});
+        shift.merge(InstanceId("a"),
+                    {.service = service, .version = next, .routes = {}, .pace = {.allSlow = 8, .answers = 8}});
         CPPUNIT_ASSERT(shift.hasEvidence());
-        CPPUNIT_ASSERT(shift.counts().first.pace.logOdds < 0);
+        CPPUNIT_ASSERT(shift.report().pace.logOdds() < 0);
         shift.judge(start);
         // The other instance's report is answered before it counts.
-        shift.merge(InstanceId("b"), {.service = service, .version = next, .served = 8, .pace = {-4, 8}}, {});
+        shift.merge(InstanceId("b"),
+                    {.service = service, .version = next, .routes = {}, .pace = {.allSlow = -4, .answers = 8}});
         CPPUNIT_ASSERT(!shift.judge(start + shift.shiftLimits().confirmTime));
     }
 
@@ -344,7 +384,7 @@
     {
         VersionShift shift = running();
         for (int answer = 0; answer < 4; ++answer) {
-            shift.onAnswer(true, false);
+            shift.onAnswer(route, true, false);
         }
         CPPUNIT_ASSERT(shift.hasEvidence());
         shift.onStatus({.service = service, .to = next, .state = RolloutState::Completed, .order = 7}, start);
