Take an upstream for crashed that breaks its connection unanswered

The system still accepts a connection for a process that is being taken down. The crash was not counted, so the same request went to a third engine.

Ruled out: late news between instances (the third loss was at the same instance).

--- a/src/net/modelcall.cpp
+++ b/src/net/modelcall.cpp
@@ -2,6 +2,7 @@
 
 #include "parsleyvane/core/clock.h"
 #include "parsleyvane/core/digest.h"
+#include "parsleyvane/net/crashprobe.h"
 #include "parsleyvane/net/sleep.h"
 #include "parsleyvane/routing/versionchoice.h"
 #include "parsleyvane/stream/eventparser.h"
@@ -332,10 +333,8 @@
     if (!endpoint) {
         co_return;
     }
-    // A process that still listens has only lost the connection; one that refuses has ended.
     HttpCall probe(this->context.io.get_executor(), upstream.str(), *endpoint, this->context.upstreamLimits);
-    const bool alive = co_await probe.connect(reason);
-    if (!alive) {
+    if (co_await hasEnded(probe)) {
         this->context.metrics.countEvent("upstream_crashed");
         this->context.evidence.upstreamCrashed(upstream, bootTime());
     }
