Count late first events against a new version, beside its pauses

The others waited for their first event until they were sent elsewhere, which counted for nothing. The part also rose before the evidence of the watch was in, and reports of other instances came up to 1.3 s late.

Change: times to the first event (or until the request was taken elsewhere) are a third piece of evidence, tested apart; it counts with at least half of the evidence from pauses. The part rises from 0.72 of the order's time on (0.68), and other instances' rows are read every 400 ms (700).

--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -22,7 +22,7 @@
     Milliseconds ordersWait{1000};
     /// @brief Changes of upstreams within this are read together: they come from each of them, and a call is priced.
     Milliseconds upstreamPace{500};
-    Milliseconds fleetPace{700}; ///< the same for the rows of other instances
+    Milliseconds fleetPace{400}; ///< the same for the rows of other instances
     Milliseconds firstRetry{100}; ///< after a failed call; doubles
     Milliseconds longestRetry{1000}; ///< well within the time in which a machine counts as in touch again
     Milliseconds publishPause{250}; ///< evidence that comes within this is written in one row
--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -80,6 +80,7 @@
     bool askLarger(const AnswerHead &facts);
     void learn(const UpstreamEntry &target, AttemptResult result);
     void learnVersion(AttemptResult result);
+    void judgeStart(TimePoint now);
     void judgePace();
     void tellEvidence(const VersionShift &shift);
     void notePressure(Milliseconds waited);
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -57,7 +57,8 @@
     ServiceName service;
     VersionName version;
     std::map<RouteName, RouteAnswers> routes;
-    PaceEvidence pace;
+    PaceEvidence start; ///< from times to the first event
+    PaceEvidence pace; ///< from pauses between events, and times of whole answers
 
     friend bool operator==(const VersionReport &, const VersionReport &) = default;
 };
@@ -69,14 +70,14 @@
     double exposeShare = 0.15;
     /// What the new version gets of requests without a session before sessions may move, against exposeShare.
     double earlyShare = 1;
-    /// What it gets from then on while it is watched: that lasts a sixth of the order's time, so that a bad version
-    /// that is noticed last has half of its bound.
+    /// What it gets from then on while it is watched: that lasts a fifth of the order's time, so that a bad version
+    /// that is noticed last has two thirds of its bound.
     double watchedShare = 3;
     /// Sessions may change to the new version from half of the order's time on; a little later, as clocks are read
     /// late.
     double watchBegin = 0.51;
-    double rampBegin = 0.68; ///< the new version's part rises from here on
-    double rampEnd = 0.8; ///< all requests go to the new version from here on
+    double rampBegin = 0.72; ///< the new version's part rises from here on
+    double rampEnd = 0.84; ///< all requests go to the new version from here on
     double settle = 0.92; ///< most answers of the old version have ended, and completion is written
     Milliseconds sessionLife{5000}; ///< requests of a session that follow each other within this belong together
     double falseHalts = 0.0005; ///< chance that a good version is backed out, by each of the tests
@@ -112,6 +113,8 @@
     /// they count only while the new version is watched, since the load of both changes once traffic moves.
     /// @param sentAt when the request was sent
     void onPace(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
+    /// @brief How long an answer took to begin, which also depends on how long its upstream's queue is; as onPace().
+    void onStart(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
     /// @brief What another instance has seen.
     void merge(const InstanceId &from, const VersionReport &report);
     /// @brief Looks at all evidence; once the version is found bad, it stays so. Each route is judged by itself too,
@@ -159,7 +162,9 @@
     VersionReport totals() const;
     std::optional<std::string> judgeAnswers(const std::map<RouteName, RouteAnswers> &routes);
     bool hasPaceEvidence() const noexcept;
-    std::optional<std::string> judgePace(const PaceEvidence &pace, TimePoint now);
+    void compare(PaceTest &test, bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
+    bool looksSlow(const VersionReport &sum) const;
+    std::optional<std::string> judgePace(const VersionReport &sum, TimePoint now);
 
     ShiftLimits limits;
     std::optional<RolloutOrder> current;
@@ -168,6 +173,7 @@
     std::map<std::string, Seen> sessions;
     std::map<RouteName, RouteAnswers> own;
     std::map<InstanceId, VersionReport> others;
+    PaceTest startTest;
     PaceTest paceTest;
     std::optional<TimePoint> slowSince; ///< the merged evidence says slow since then
     VersionJudge allRoutes;
--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -18,15 +18,29 @@
     return {json.at(0).get<std::uint64_t>(), json.at(1).get<std::uint64_t>()};
 }
 
+Json paceJson(const PaceEvidence &pace)
+{
+    return Json{{"allSlow", pace.allSlow}, {"someSlow", pace.someSlow}, {"answers", pace.answers}};
+}
+
+PaceEvidence readPace(const Json &json)
+{
+    return {.allSlow = json.at("allSlow").get<double>(),
+            .someSlow = json.at("someSlow").get<double>(),
+            .answers = json.at("answers").get<std::uint64_t>()};
+}
+
 Json versionJson(const VersionReport &version)
 {
     Json routes = Json::object();
     for (const auto &[route, answers] : version.routes) {
         routes[route.str()] = Json::array({countJson(answers.candidate), countJson(answers.predecessor)});
     }
-    return Json{{"service", version.service.str()}, {"version", version.version.str()},
-                {"routes", std::move(routes)},      {"paceAnswers", version.pace.answers},
-                {"allSlow", version.pace.allSlow},  {"someSlow", version.pace.someSlow}};
+    return Json{{"service", version.service.str()},
+                {"version", version.version.str()},
+                {"routes", std::move(routes)},
+                {"start", paceJson(version.start)},
+                {"pace", paceJson(version.pace)}};
 }
 
 VersionReport readVersion(const Json &json)
@@ -34,9 +48,8 @@
     VersionReport version{.service = ServiceName(json.at("service").get<std::string>()),
                           .version = VersionName(json.at("version").get<std::string>()),
                           .routes = {},
-                          .pace = {.allSlow = json.at("allSlow").get<double>(),
-                                   .someSlow = json.at("someSlow").get<double>(),
-                                   .answers = json.at("paceAnswers").get<std::uint64_t>()}};
+                          .start = readPace(json.at("start")),
+                          .pace = readPace(json.at("pace"))};
     for (const auto &[route, answers] : json.at("routes").items()) {
         version.routes[RouteName(route)] = {readCount(answers.at(0)), readCount(answers.at(1))};
     }
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -47,6 +47,13 @@
     addTo(sum.predecessor, answers.predecessor);
 }
 
+void addTo(PaceEvidence &sum, const PaceEvidence &evidence)
+{
+    sum.allSlow += evidence.allSlow;
+    sum.someSlow += evidence.someSlow;
+    sum.answers += evidence.answers;
+}
+
 RouteAnswers sumOf(const std::map<RouteName, RouteAnswers> &routes)
 {
     RouteAnswers sum;
@@ -85,6 +92,7 @@
     this->current = newOrder;
     this->own.clear();
     this->others.clear();
+    this->startTest.restart();
     this->paceTest.restart();
     this->slowSince.reset();
     this->eachRoute.clear();
@@ -181,15 +189,25 @@
 }
 
 void VersionShift::onPace(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt)
+{
+    this->compare(this->paceTest, candidate, kind, took, sentAt);
+}
+
+void VersionShift::onStart(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt)
+{
+    this->compare(this->startTest, candidate, kind, took, sentAt);
+}
+
+void VersionShift::compare(PaceTest &test, bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt)
 {
     const auto passed = this->progress(sentAt);
     if (passed && *passed >= this->limits.rampBegin) {
         return;
     }
     if (passed && candidate) {
-        this->paceTest.onCandidate(kind, took);
+        test.onCandidate(kind, took);
     } else {
-        this->paceTest.onPredecessor(kind, took);
+        test.onPredecessor(kind, took);
     }
 }
 
@@ -207,9 +225,8 @@
         for (const auto &[route, answers] : told.routes) {
             addTo(sum.routes[route], answers);
         }
-        sum.pace.allSlow += told.pace.allSlow;
-        sum.pace.someSlow += told.pace.someSlow;
-        sum.pace.answers += told.pace.answers;
+        addTo(sum.start, told.start);
+        addTo(sum.pace, told.pace);
     }
     return sum;
 }
@@ -222,7 +239,7 @@
     const VersionReport sum = this->totals();
     auto reason = this->judgeAnswers(sum.routes);
     if (!reason) {
-        reason = this->judgePace(sum.pace, now);
+        reason = this->judgePace(sum, now);
     }
     this->bad = reason.has_value();
     return reason;
@@ -241,10 +258,18 @@
     return reason.empty() ? std::nullopt : std::optional(reason);
 }
 
-std::optional<std::string> VersionShift::judgePace(const PaceEvidence &pace, TimePoint now)
+bool VersionShift::looksSlow(const VersionReport &sum) const
+{
+    constexpr double tests = 4;
+    const double needed = std::log(tests / this->limits.falseHalts);
+    // Late starts alone may come from dead or crowded upstreams, whose answers that did begin are as quick as ever.
+    const bool startsToo = sum.start.logOdds() >= needed && sum.pace.logOdds() >= needed / 2;
+    return sum.pace.logOdds() >= needed || startsToo;
+}
+
+std::optional<std::string> VersionShift::judgePace(const VersionReport &sum, TimePoint now)
 {
-    constexpr double tests = 2;
-    if (pace.logOdds() < std::log(tests / this->limits.falseHalts)) {
+    if (!this->looksSlow(sum)) {
         this->slowSince.reset();
         return std::nullopt;
     }
@@ -255,8 +280,8 @@
         return std::nullopt;
     }
     std::ostringstream reason;
-    reason << "slower than its predecessor over " << pace.answers << " answers, log-odds " << std::setprecision(3)
-           << pace.logOdds();
+    reason << std::setprecision(3) << "slower than its predecessor: log-odds " << sum.pace.logOdds() << " over "
+           << sum.pace.answers << " answers, " << sum.start.logOdds() << " over " << sum.start.answers << " starts";
     return reason.str();
 }
 
@@ -288,11 +313,13 @@
 {
     // Below what one slow answer gives.
     constexpr double leastTold = 1;
-    const PaceEvidence &own = this->paceTest.evidence();
+    const double own = std::max(this->startTest.evidence().logOdds(), this->paceTest.evidence().logOdds());
+    const std::uint64_t answers = this->startTest.evidence().answers + this->paceTest.evidence().answers;
     // What speaks for the version counts once anyone has spoken against it.
-    const bool doubted = std::any_of(this->others.begin(), this->others.end(),
-                                     [](const auto &entry) { return entry.second.pace.logOdds() > 0; });
-    return own.logOdds() >= leastTold || (doubted && own.answers > 0);
+    const bool doubted = std::any_of(this->others.begin(), this->others.end(), [](const auto &entry) {
+        return std::max(entry.second.start.logOdds(), entry.second.pace.logOdds()) > 0;
+    });
+    return own >= leastTold || (doubted && answers > 0);
 }
 
 VersionReport VersionShift::report() const
@@ -303,6 +330,7 @@
     return {.service = this->current->service,
             .version = this->current->to,
             .routes = this->own,
+            .start = this->startTest.evidence(),
             .pace = this->paceTest.evidence()};
 }
 
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -327,6 +327,8 @@
                                 {"served", static_cast<std::int64_t>(answers.candidate.served)},
                                 {"predecessor_bad", static_cast<std::int64_t>(answers.predecessor.bad)},
                                 {"predecessor_served", static_cast<std::int64_t>(answers.predecessor.served)},
+                                {"start_answers", static_cast<std::int64_t>(version.start.answers)},
+                                {"start_log_odds", std::to_string(version.start.logOdds())},
                                 {"pace_answers", static_cast<std::int64_t>(version.pace.answers)},
                                 {"pace_log_odds", std::to_string(version.pace.logOdds())}});
     }
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -314,6 +314,7 @@
     if (this->firstEventAt == TimePoint()) {
         this->firstEventAt = bootTime();
         this->notePressure(this->firstEventAt - this->sentAt);
+        this->judgeStart(this->firstEventAt);
     }
     this->judgePace();
     bool passed = false;
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -67,6 +67,14 @@
     }
 }
 
+void ForwardedRequest::judgeStart(TimePoint now)
+{
+    VersionShift &shift = shiftOf(this->context, this->service);
+    const std::string kind = this->route->name.str() + "/" + std::to_string(this->size);
+    shift.onStart(this->candidate, kind, now - this->sentAt, this->sentAt);
+    this->tellEvidence(shift);
+}
+
 void ForwardedRequest::judgePace()
 {
     // A slow version shows in the pauses long before its answers end.
@@ -78,7 +86,7 @@
     // Ten pauses, since one is only some ms long.
     constexpr std::int64_t pauses = 10;
     const auto gaps = static_cast<std::int64_t>(this->events - 1);
-    const std::string kind = this->route->name.str() + "/" + std::to_string(this->size) + "/pauses";
+    const std::string kind = this->route->name.str() + "/" + std::to_string(this->size);
     this->paceJudged = true;
     shift.onPace(this->candidate, kind, (bootTime() - this->firstEventAt) * pauses / gaps, this->sentAt);
     this->tellEvidence(shift);
@@ -96,7 +104,12 @@
     VersionShift &shift = shiftOf(this->context, this->service);
     const TimePoint now = bootTime();
     const std::string kind = this->route->name.str() + "/" + std::to_string(this->size);
-    // A late first event speaks of the upstream's queue, not of its version.
+    const bool late = result == AttemptResult::Silent && this->events == 0;
+    if (this->route->streams && (late || result == AttemptResult::PoorAnswer)) {
+        // A silent one would have begun later still.
+        this->judgeStart(now);
+        return;
+    }
     const bool silent = result == AttemptResult::Silent && !this->route->streams;
     if (result == AttemptResult::Failed || silent) {
         shift.onAnswer(this->route->name, this->candidate, false);
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -57,7 +57,7 @@
     }
 
     /// @brief Adds an upstream of the service "s".
-    ScriptedUpstream &upstream(const std::string &id, std::deque<Act> acts)
+    ScriptedUpstream &upstream(const std::string &id, std::deque<Act> acts, const std::string &version = "v1")
     {
         auto &added = this->upstreams.emplace_back(std::make_unique<ScriptedUpstream>(this->io, id));
         added->acts = std::move(acts);
@@ -65,7 +65,7 @@
                                                 .service = ServiceName("s"),
                                                 .address = added->address(),
                                                 .zone = ZoneId("a"),
-                                                .version = VersionName("v1"),
+                                                .version = VersionName(version),
                                                 .slots = 4});
         return *added;
     }
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -373,7 +373,8 @@
         report.versions.push_back({ServiceName("s"),
                                    VersionName("v2"),
                                    {{RouteName("r"), {{7, 2}, {9, 1}}}},
-                                   {.allSlow = 2.5, .someSlow = 1.5, .answers = 6}});
+                                   {.allSlow = 2.5, .someSlow = 1.5, .answers = 6},
+                                   {.allSlow = 3, .someSlow = 4, .answers = 7}});
         LastReason reason;
         CPPUNIT_ASSERT(parseFleetReport(serialise(report), reason) == report);
     }
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(aStreamGoesOnAfterItsLastWholeEvent);
     CPPUNIT_TEST(aBegunStreamGoesOnWithoutBudget);
     CPPUNIT_TEST(aLateFirstEventIsNoEvidenceAgainstAVersion);
+    CPPUNIT_TEST(lateFirstEventsShowASlowVersion);
     CPPUNIT_TEST(aRunOnceFailureIsEvidenceAgainstAVersion);
     CPPUNIT_TEST(aStreamThatMayNotResumeBreaksVisibly);
     CPPUNIT_TEST(aMissingEventNeverPasses);
@@ -276,6 +277,20 @@
         CPPUNIT_ASSERT(shift.report().routes.empty());
     }
 
+    void lateFirstEventsShowASlowVersion()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Resumable, true);
+        VersionShift &shift = rig.rollOut();
+        for (int answer = 0; answer < 20; ++answer) {
+            shift.onStart(false, "stream/0", Milliseconds(4), bootTime());
+        }
+        shift.setLimits({.exposeShare = 1});
+        rig.upstream("u", {{"", true, true}}, "v2");
+        rig.exchange(ask("/stream/"));
+        CPPUNIT_ASSERT_GREATER(0.0, shift.report().start.logOdds());
+    }
+
     void aRunOnceFailureIsEvidenceAgainstAVersion()
     {
         ForwardRig rig;
--- a/tests/unit-versionshift.cpp
+++ b/tests/unit-versionshift.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(aFewVeryLateAnswersDecideNothing);
     CPPUNIT_TEST(timesCountOnlyWhileTheVersionIsWatched);
     CPPUNIT_TEST(whatIsUsualIsKnownBeforeTheOrder);
+    CPPUNIT_TEST(lateStartsCountOnceThePausesAreLongToo);
     CPPUNIT_TEST(slownessIsAddedUpOverTheInstances);
     CPPUNIT_TEST(whatSpeaksForADoubtedVersionIsTold);
     CPPUNIT_TEST(theOutcomeDecidesForEveryInstance);
@@ -202,7 +203,7 @@
     {
         VersionShift shift = running();
         const VersionReport report{
-            .service = service, .version = next, .routes = {{route, {{40, 20}, {400, 2}}}}, .pace = {}};
+            .service = service, .version = next, .routes = {{route, {{40, 20}, {400, 2}}}}, .start = {}, .pace = {}};
         shift.merge(InstanceId("other"), report);
         CPPUNIT_ASSERT(shift.judge(start));
         VersionShift unrelated = running();
@@ -325,11 +326,28 @@
         CPPUNIT_ASSERT(shift.judge(at(0.3)));
     }
 
+    void lateStartsCountOnceThePausesAreLongToo()
+    {
+        VersionShift shift = running();
+        VersionReport report{.service = service,
+                             .version = next,
+                             .routes = {},
+                             .start = {.allSlow = 20, .answers = 30},
+                             .pace = {.allSlow = 3, .someSlow = -1, .answers = 100}};
+        shift.merge(InstanceId("a"), report);
+        shift.judge(start);
+        CPPUNIT_ASSERT(!shift.judge(start + Milliseconds(5000)));
+        report.pace.allSlow = 6;
+        shift.merge(InstanceId("a"), report);
+        shift.judge(start + Milliseconds(5000));
+        CPPUNIT_ASSERT(shift.judge(start + Milliseconds(6000)));
+    }
+
     void slownessIsAddedUpOverTheInstances()
     {
         VersionShift shift = running();
         const VersionReport slow{
-            .service = service, .version = next, .routes = {}, .pace = {.allSlow = 5, .answers = 8}};
+            .service = service, .version = next, .routes = {}, .start = {}, .pace = {.allSlow = 5, .answers = 8}};
         shift.merge(InstanceId("a"), slow);
         shift.judge(start);
         CPPUNIT_ASSERT(!shift.judge(start + Milliseconds(5000)));
@@ -349,14 +367,16 @@
             shift.onPace(true, "r", pace.next(), start);
         }
         CPPUNIT_ASSERT(!shift.hasEvidence());
-        shift.merge(InstanceId("a"),
-                    {.service = service, .version = next, .routes = {}, .pace = {.allSlow = 8, .answers = 8}});
+        shift.merge(
+            InstanceId("a"),
+            {.service = service, .version = next, .routes = {}, .start = {}, .pace = {.allSlow = 8, .answers = 8}});
         CPPUNIT_ASSERT(shift.hasEvidence());
         CPPUNIT_ASSERT(shift.report().pace.logOdds() < 0);
         shift.judge(start);
         // The other instance's report is answered before it counts.
-        shift.merge(InstanceId("b"),
-                    {.service = service, .version = next, .routes = {}, .pace = {.allSlow = -4, .answers = 8}});
+        shift.merge(
+            InstanceId("b"),
+            {.service = service, .version = next, .routes = {}, .start = {}, .pace = {.allSlow = -4, .answers = 8}});
         CPPUNIT_ASSERT(!shift.judge(start + shift.shiftLimits().confirmTime));
     }
 
