Keep the HTTP status codes in one header

No behaviour changes: the constants stood in eight files of src/net. unit-net-forward, unit-net-crashprobe and unit-net-platform pass.

--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -2,6 +2,7 @@
 
 #include "parsleyvane/core/clock.h"
 #include "parsleyvane/net/endpoint.h"
+#include "parsleyvane/net/httpstatus.h"
 #include "parsleyvane/retry/attempts.h"
 
 #include <algorithm>
@@ -15,10 +16,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusMultiple = 300;
-constexpr int statusServerError = 500;
-constexpr int statusMisdirected = 421;
 /// Upstreams answer a new connection within some ms; a full queue drops the first packet for a second.
 constexpr Milliseconds connectLimit{400};
 /// An upstream that acknowledges nothing for this long is dark.
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "parsleyvane/core/clock.h"
 #include "parsleyvane/membership/rendezvous.h"
+#include "parsleyvane/net/httpstatus.h"
 
 #include <algorithm>
 #include <array>
@@ -13,10 +14,6 @@
 
 namespace {
 
-constexpr int statusServerError = 500;
-constexpr int statusUnavailable = 503;
-constexpr int statusBadGateway = 502;
-constexpr int statusTimeout = 504;
 /// The final answer leaves this long before the client's time is over, so that it arrives.
 constexpr Milliseconds answerMargin{40};
 /// Less than this is too little for an upstream to do anything.
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -3,6 +3,7 @@
 #include "parsleyvane/core/clock.h"
 #include "parsleyvane/forward/forwardedrequest.h"
 #include "parsleyvane/net/endpoint.h"
+#include "parsleyvane/net/httpstatus.h"
 #include "parsleyvane/net/sleep.h"
 
 #include <algorithm>
@@ -15,9 +16,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
 const std::string textType = "text/plain; version=0.0.4";
 
 /// The balancer asks once a second and takes an instance out after two misses; it may then still be sending.
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "parsleyvane/net/httpserver.h"
 
+#include "parsleyvane/net/httpstatus.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,7 +21,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr std::size_t firstReadBytes = 4096;
 const std::string jsonType = "application/json";
 
--- a/src/net/modelcall.cpp
+++ b/src/net/modelcall.cpp
@@ -3,6 +3,7 @@
 #include "parsleyvane/core/clock.h"
 #include "parsleyvane/core/digest.h"
 #include "parsleyvane/net/crashprobe.h"
+#include "parsleyvane/net/httpstatus.h"
 #include "parsleyvane/net/sleep.h"
 #include "parsleyvane/routing/versionchoice.h"
 #include "parsleyvane/stream/eventparser.h"
@@ -19,8 +20,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
 /// Between an interruption and the next attempt, so that the claimed request takes the place.
 constexpr Milliseconds pauseAfterInterruption{200};
 /// Rounds of making room for one claimed attempt.
--- a/src/net/operatorapi.cpp
+++ b/src/net/operatorapi.cpp
@@ -1,6 +1,7 @@
 #include "parsleyvane/net/operatorapi.h"
 
 #include "parsleyvane/core/clock.h"
+#include "parsleyvane/net/httpstatus.h"
 
 #include <nlohmann/json.hpp>
 
@@ -11,8 +12,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
 const std::string textType = "text/plain; version=0.0.4";
 const std::string jsonType = "application/json";
 
--- a/src/net/platformclient.cpp
+++ b/src/net/platformclient.cpp
@@ -1,5 +1,7 @@
 #include "parsleyvane/net/platformclient.h"
 
+#include "parsleyvane/net/httpstatus.h"
+
 #include <nlohmann/json.hpp>
 
 namespace parsleyvane {
@@ -10,9 +12,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusConflict = 409;
 const std::string platformName = "platform";
 
 Failure unavailable(std::string detail)
--- a/src/net/servicecall.cpp
+++ b/src/net/servicecall.cpp
@@ -2,6 +2,7 @@
 
 #include "parsleyvane/core/clock.h"
 #include "parsleyvane/core/digest.h"
+#include "parsleyvane/net/httpstatus.h"
 #include "parsleyvane/net/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,8 +17,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
 constexpr Milliseconds cleanUpPause{500};
 
 /// Runs a ledger's write in the table.
