--- a/tests/rig/fleet.cpp
+++ b/tests/rig/fleet.cpp
@@ -242,8 +242,12 @@
 
 void Fleet::fault(const Member &member, const Json &faults)
 {
-    const auto response = call(member.address, http::verb::post, "/faults", faults);
-    require(response && response->result() == http::status::ok, member.id + " did not take its faults");
+    // A member that was just started again does not listen yet.
+    const auto taken = [&] {
+        const auto response = call(member.address, http::verb::post, "/faults", faults);
+        return response && response->result() == http::status::ok;
+    };
+    require(waitUntil(taken), member.id + " did not take its faults");
 }
 
 Member &Fleet::platform()
