Log why an answer was cut, and the configuration that admitted it

The lines of the lost answers don't tell hypotheses 1 and 3 of docs/incidents/2026-12-04-lost-answers.md apart directly: an end of the attempts that comes from the newest configuration leaves no reason.

- request lines: admitted_revision beside the revision last looked up; stop: also names the error of the newest configuration; each attempt shows how many events it relayed.
- counter broken_off_REASON.

Ruled out: a second line for each attempt; at 300 lines a second it would push others out. No change of logic.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -65,6 +65,7 @@
     std::optional<Failure> resolve();
     boost::asio::awaitable<void> tryUpstreams();
     bool mayRetry(AttemptResult result, std::string &why);
+    void stop(std::string_view why);
     std::optional<UpstreamEntry> chooseTarget();
     boost::asio::awaitable<AttemptResult> attempt();
     boost::asio::awaitable<AttemptResult> attemptAt(const UpstreamEntry &target, HttpCall &connection);
@@ -119,6 +120,8 @@
     TimePoint firstEventAt{};
     TimePoint sentAt{};
     std::string attemptLog; ///< summary of the attempts for the log
+    std::string stopReason; ///< why no further attempt was made; empty while there may be one
+    Revision admittedRevision; ///< revision of the configuration that admitted the request
     Fingerprint fingerprintValue;
     HttpCall *call = nullptr; ///< the connection in use
     bool upstreamFailed = false; ///< this attempt's complete answer was a server error
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -135,6 +135,9 @@
     this->recordResult(*target, result);
     const auto took = (bootClockNow() - startedAt).count();
     this->attemptLog.append(":").append(resultName(result)).append(":").append(std::to_string(took)).append("ms");
+    if (this->events > 0) {
+        this->attemptLog.append(":").append(std::to_string(this->events)).append("events");
+    }
     co_return result;
 }
 
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -89,6 +89,7 @@
     }
     const Milliseconds timeout = std::min(this->facts.timeout.value_or(this->route->timeout), this->route->timeout);
     this->deadline = this->arrivedAt + timeout - answerMargin;
+    this->admittedRevision = this->table->revision();
     this->sizeIndex = firstSize(*this->route, this->route->maxAttempts);
     return std::nullopt;
 }
@@ -143,17 +144,24 @@
         }
         std::string why;
         if (!this->mayRetry(result, why)) {
-            this->attemptLog.append(" stop:").append(why);
+            this->stop(why);
             co_return;
         }
         // Each further attempt follows the latest configuration.
         this->refusal = this->resolve();
         if (this->refusal) {
+            this->stop(errorName(this->refusal->id));
             co_return;
         }
     }
 }
 
+void ForwardedRequest::stop(std::string_view why)
+{
+    this->stopReason = why;
+    this->attemptLog.append(" stop:").append(why);
+}
+
 bool ForwardedRequest::mayRetry(AttemptResult result, std::string &why)
 {
     if (result == AttemptResult::NoUpstream) {
@@ -207,6 +215,7 @@
     }
     if (this->exchange.answered()) {
         this->exchange.abort();
+        this->context.metrics.countEvent("broken_off_" + this->stopReason);
         this->logAnswer(0, "broken_off");
         co_return;
     }
@@ -314,6 +323,7 @@
          {"run", runStateName(this->combinedRunState)},
          {"ms", (now - this->arrivedAt).count()},
          {"left", this->deadline == TimePoint() ? std::string("-") : std::to_string(this->remainingTime().count())},
+         {"admitted_revision", static_cast<std::int64_t>(this->admittedRevision.value())},
          {"revision", static_cast<std::int64_t>(revision)},
          {"configuration_age", age(this->context.fleetView.tableConfirmedAt)},
          {"upstreams_age", age(this->context.fleetView.upstreamsReadAt)},
