--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -11,6 +11,7 @@
 #include "platform/platform.h"
 
 #include <boost/asio.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,6 +20,32 @@
 
 namespace asio = boost::asio;
 
+/// @brief The platform's codec, with hooks at two steps of a request.
+class HookedPlatform : public platform::Platform
+{
+public:
+    using Platform::Platform;
+
+    std::optional<RequestFacts> readRequest(const HttpRequest &request, LastReason &reason) const override
+    {
+        if (this->onRequestRead) {
+            this->onRequestRead();
+        }
+        return Platform::readRequest(request, reason);
+    }
+
+    HttpRequest makeUpstreamRequest(const HttpRequest &received, const DispatchFacts &facts) const override
+    {
+        if (this->onUpstreamRequest) {
+            this->onUpstreamRequest();
+        }
+        return Platform::makeUpstreamRequest(received, facts);
+    }
+
+    std::function<void()> onRequestRead; ///< before a client's request is admitted
+    std::function<void()> onUpstreamRequest; ///< before a request is sent to an upstream
+};
+
 /// @brief The ingress under test.
 class ForwardRig
 {
@@ -59,15 +86,23 @@
     ScriptedUpstream &upstream(const std::string &id, std::deque<ScriptedResponse> scriptedResponses,
                                const std::string &version = "v1")
     {
-        auto &added = this->upstreams.emplace_back(std::make_unique<ScriptedUpstream>(this->io, id));
-        added->scriptedResponses = std::move(scriptedResponses);
-        this->context.fleetView.upstreams.update({.id = UpstreamId(id),
-                                                  .service = ServiceName("s"),
-                                                  .address = added->address(),
-                                                  .zone = ZoneId("a"),
-                                                  .version = VersionName(version),
-                                                  .slots = 4});
-        return *added;
+        return this->addUpstream(id, std::move(scriptedResponses),
+                                 {.service = ServiceName("s"), .zone = ZoneId("a"), .version = VersionName(version)});
+    }
+
+    /// @brief Adds an upstream of the service "s" in another availability zone: it is chosen after those of the own
+    /// one.
+    ScriptedUpstream &remoteUpstream(const std::string &id, std::deque<ScriptedResponse> scriptedResponses)
+    {
+        return this->addUpstream(id, std::move(scriptedResponses),
+                                 {.service = ServiceName("s"), .zone = ZoneId("b"), .version = VersionName("v1")});
+    }
+
+    /// @brief Adds an upstream of the service.
+    ScriptedUpstream &upstreamOf(const ServiceName &service, std::deque<ScriptedResponse> scriptedResponses)
+    {
+        return this->addUpstream(service.str() + "-1", std::move(scriptedResponses),
+                                 {.service = service, .zone = ZoneId("a"), .version = VersionName("v1")});
     }
 
     /// @brief Adds a route below /NAME/.
@@ -85,6 +120,13 @@
                                .services = {{ServiceName("s"), 1}}});
     }
 
+    /// @brief Replaces the configuration; the one before is destroyed unless a request still owns it.
+    void reconfigure(const std::shared_ptr<RouteTable> &next)
+    {
+        this->table = next;
+        this->context.fleetView.table = next;
+    }
+
     /// @brief Starts a roll-out of version "v2" of the service "s".
     VersionShift &rollOut()
     {
@@ -115,7 +157,7 @@
     }
 
     asio::io_context io;
-    platform::Platform platform;
+    HookedPlatform platform;
     Metrics metrics;
     DecisionLog log;
     ForwardContext context;
@@ -126,6 +168,18 @@
     bool disconnectsEarly = false; ///< the client closes its connection shortly after it has sent its bytes
 
 private:
+    ScriptedUpstream &addUpstream(const std::string &id, std::deque<ScriptedResponse> scriptedResponses,
+                                  UpstreamEntry entry)
+    {
+        auto &added = this->upstreams.emplace_back(std::make_unique<ScriptedUpstream>(this->io, id));
+        added->scriptedResponses = std::move(scriptedResponses);
+        entry.id = UpstreamId(id);
+        entry.address = added->address();
+        entry.slots = 4;
+        this->context.fleetView.upstreams.update(entry);
+        return *added;
+    }
+
     static asio::awaitable<void> runClient(ForwardRig *self, std::string bytes, std::string *answer, bool *ended)
     {
         asio::ip::tcp::socket socket(self->io);
@@ -165,11 +219,11 @@
 }
 
 /// @brief The head of a streamed answer with chunked events.
-inline std::string streamHead(const std::string &id = "r-1")
+inline std::string streamHead(const std::string &id = "r-1", const std::string &more = "")
 {
     return "HTTP/1.1 200 OK\r\nX-Parsleyvane-Attempt-Id: " + id
-        + "\r\nX-Parsleyvane-Server-Signature: sig\r\nContent-Type: text/event-stream\r\n"
-          "Transfer-Encoding: chunked\r\n\r\n";
+        + "\r\nX-Parsleyvane-Server-Signature: sig\r\nContent-Type: text/event-stream\r\n" + more
+        + "Transfer-Encoding: chunked\r\n\r\n";
 }
 
 /// @brief A chunk that holds one event.
--- a/tests/scriptedupstream.h
+++ b/tests/scriptedupstream.h
@@ -7,6 +7,7 @@
 #include <array>
 #include <boost/asio.hpp>
 #include <deque>
+#include <functional>
 #include <string>
 
 namespace parsleyvane::test {
@@ -19,6 +20,8 @@
     std::string answer;
     bool closesConnection = true; ///< the connection closes after the answer
     bool staysSilent = false; ///< sends nothing after the answer until the client closes the connection
+    std::function<void()> onSent; ///< called after the answer, once the client has had time to read it
+    std::string rest; ///< sent after onSent
 };
 
 /// @brief An upstream that sends its scripted answers in order and repeats the last one.
@@ -88,6 +91,15 @@
             boost::system::error_code error;
             const auto answer = asio::buffer(response.answer);
             co_await asio::async_write(socket, answer, asio::redirect_error(asio::use_awaitable, error));
+            if (response.onSent) {
+                asio::steady_timer readDelay(socket.get_executor(), std::chrono::milliseconds(20));
+                co_await readDelay.async_wait(asio::use_awaitable);
+                response.onSent();
+            }
+            if (!response.rest.empty()) {
+                const auto rest = asio::buffer(response.rest);
+                co_await asio::async_write(socket, rest, asio::redirect_error(asio::use_awaitable, error));
+            }
             if (response.staysSilent) {
                 co_await socket.async_read_some(asio::buffer(space), asio::redirect_error(asio::use_awaitable, error));
                 ++self->closedByClient;
