Let the poor answer of the run-once test be complete

anEscalatedRequestIsAnsweredWhateverChanged let its upstream close in the middle of the poor answer. For the run-once route the expected 200 could not come from that. The upstream now sends the whole answer; what is expected stays. Still red, now for the right cause: 502, no retry is allowed after the answer was dropped.

--- a/tests/unit-net-forward-reconfiguration.cpp
+++ b/tests/unit-net-forward-reconfiguration.cpp
@@ -327,8 +327,9 @@
     void anEscalatedRequestIsAnsweredWhateverChanged()
     {
         forEach(isStream, [](Reconfiguration &test) {
-            const std::string head = streamHead("r-1", "X-Parsleyvane-Confidence: 0\r\n");
-            test.rig.upstream("u", {{"", true, false, test.apply(), head + chunkedEvent(1)}, {answerTo(test.kind)}});
+            const std::string poorAnswer
+                = streamHead("r-1", "X-Parsleyvane-Confidence: 0\r\n") + chunkedEvent(1) + chunkedEvent(2) + lastChunk;
+            test.rig.upstream("u", {{"", true, false, test.apply(), poorAnswer}, {answerTo(test.kind)}});
             test.expectAnswer(isRepeatable(test.kind) ? 2 : 1);
         });
     }
