--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -68,6 +68,7 @@
     void adopt(Resolution found);
     std::optional<Failure> followNewestConfiguration();
     boost::asio::awaitable<void> tryUpstreams();
+    std::string_view retryObstacle() const;
     bool mayRetry(AttemptResult result, std::string &why);
     void stop(std::string_view why);
     std::optional<UpstreamEntry> chooseTarget();
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -184,19 +184,30 @@
     this->attemptLog.append(" stop:").append(why);
 }
 
+std::string_view ForwardedRequest::retryObstacle() const
+{
+    if (this->remainingTime() < minUsefulTime) {
+        return "deadline";
+    }
+    if (!this->isRepeatable() && this->combinedRunState != RunState::NotRun) {
+        return "may_have_run";
+    }
+    if (this->possibleRuns >= this->route().maxAttempts) {
+        return "attempts";
+    }
+    if (this->dispatches >= maxDispatches || this->attempts >= maxTotalAttempts) {
+        return "tries";
+    }
+    return {};
+}
+
 bool ForwardedRequest::mayRetry(AttemptResult result, std::string &why)
 {
-    if (result == AttemptResult::NoUpstream) {
-        why = "no_upstream";
-    } else if (this->remainingTime() < minUsefulTime) {
-        why = "deadline";
-    } else if (!this->isRepeatable() && this->combinedRunState != RunState::NotRun) {
-        why = "may_have_run";
-    } else if (this->possibleRuns >= this->route().maxAttempts) {
-        why = "attempts";
-    } else if (this->dispatches >= maxDispatches || this->attempts >= maxTotalAttempts) {
-        why = "tries";
-    } else if (this->exchange.answered()) {
+    why = result == AttemptResult::NoUpstream ? "no_upstream" : this->retryObstacle();
+    if (!why.empty()) {
+        return false;
+    }
+    if (this->exchange.answered()) {
         this->context.budget.spend(this->service(), bootClockNow());
     } else if (this->dispatches > 0 && result != AttemptResult::PoorAnswer && result != AttemptResult::Unreachable
                && result != AttemptResult::Withdrawn && !this->context.budget.take(this->service(), bootClockNow())) {
