Give up a silent upstream only for another one

Callers saw: the connection reset in the middle of an answer, or a 502, seconds before their deadline, because the upstream paused.

Cause: the wait for an upstream was set when the read began, from the attempts and the budget left then. When it expired the connection was closed, and only afterwards mayRetry asked whether another attempt was allowed. Without one the request ended: at 4 times the objective between events where no attempt was left (at once for a stream that may run once, at 1 time where the budget or the list of upstreams had changed).

Now the connection asks when its limit expires (HttpCall::onTimeout). It is closed only if a retry is allowed, another upstream can take it, and the budget has been charged for it; otherwise the wait is extended by 250 ms, up to the deadline.

Ruled out: a longer fixed limit; the answer is cut all the same, later.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -55,6 +55,13 @@
     boost::asio::awaitable<void> run();
 
 private:
+    /// The upstream of one attempt.
+    struct Target
+    {
+        UpstreamEntry entry;
+        bool usesCandidate = false; ///< it runs the version that is being rolled out
+    };
+
     /// An upstream's complete answer.
     struct WholeAnswer
     {
@@ -71,7 +78,9 @@
     std::string_view retryObstacle() const;
     bool mayRetry(AttemptResult result, std::string &why);
     void stop(std::string_view why);
-    std::optional<UpstreamEntry> chooseTarget();
+    bool payForRetry();
+    Milliseconds extendWait(const UpstreamId &silent);
+    std::optional<Target> chooseTarget(const UpstreamId &excluded) const;
     boost::asio::awaitable<AttemptResult> attempt();
     boost::asio::awaitable<AttemptResult> attemptAt(const UpstreamEntry &target, HttpCall &connection);
     boost::asio::awaitable<AttemptResult> readAnswer(const UpstreamEntry &target, HttpCall &connection);
@@ -93,7 +102,7 @@
     DispatchFacts dispatchFacts(const UpstreamEntry &target) const;
     Milliseconds answerTimeout() const;
     Milliseconds eventTimeout() const;
-    bool isLastRun() const;
+    Milliseconds silenceLimit(Milliseconds expected) const;
     bool isRepeatable() const;
     Milliseconds remainingTime() const;
     std::string affinityKey() const;
@@ -134,6 +143,7 @@
     HttpCall *call = nullptr; ///< the connection in use
     bool upstreamFailed = false; ///< this attempt's complete answer was a server error
     bool isEventLatencyRecorded = false; ///< the inter-event latency of this attempt was recorded
+    bool isRetryPaid = false; ///< the retry budget was charged when a silent upstream was given up
     bool clientDisconnected = false;
     bool isAnswered = false;
     bool isConnectionReusable = false; ///< the answer was read to its end, so the connection may carry another request
--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -13,6 +13,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -84,6 +85,10 @@
     boost::asio::awaitable<std::optional<std::string>> readSome(LastReason &reason);
     /// @brief Sets the time limit for later sends and reads.
     void setProgressLimit(Milliseconds limit) noexcept;
+    /// @brief Sets a handler that is called when a time limit expires; an empty one removes it.
+    ///
+    /// The handler returns by how much the limit is extended. With 0, or without a handler, the connection is closed.
+    void onTimeout(std::function<Milliseconds()> handler);
     /// @brief Suspends the time limits until the next call on this connection.
     void suspendTimeouts();
     /// @brief Closes the connection immediately; a pending read fails with UpstreamLost. Idempotent.
@@ -135,6 +140,7 @@
     boost::asio::steady_timer watchdog;
     boost::asio::steady_timer::time_point deadline;
     std::chrono::steady_clock::time_point armedDeadline;
+    std::function<Milliseconds()> timeoutHandler;
     bool isWatchdogActive = false;
     bool expired = false;
     unsigned calls = 0;
--- a/src/core/ingress/upstreamchoice.cpp
+++ b/src/core/ingress/upstreamchoice.cpp
@@ -23,7 +23,8 @@
 {
     std::vector<Candidate> found;
     list.forEachUsable(question.service, [&](const RegisteredUpstream &upstream) {
-        if (question.versionAllowed && !question.versionAllowed(upstream.entry.version)) {
+        const bool isVersionAllowed = !question.versionAllowed || question.versionAllowed(upstream.entry.version);
+        if (!isVersionAllowed || upstream.entry.id == question.excluded) {
             return;
         }
         const bool avoided = now < upstream.avoidUntil || upstream.failureRate > limits.unhealthyFailureRate;
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -24,12 +24,8 @@
 constexpr unsigned maxForeignAnswers = 2;
 /// Fraction of the objective to wait for the first event before a retry on another upstream.
 constexpr double firstEventFactor = 0.75;
-/// Fraction of the inter-event objective after which a silent upstream is considered hung.
-constexpr double interEventFactor = 1.0;
 /// Multiple of the objective to wait for a non-streamed answer before a retry on another upstream.
 constexpr double answerFactor = 1.5;
-/// Multiple of the inter-event objective to wait when no retry is left: clients tolerate about that much.
-constexpr int lastAttemptInterEventFactor = 4;
 constexpr std::array connectionHeaders = {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer",
                                           "Upgrade",    "TE",         "Proxy-Connection"};
 
@@ -92,47 +88,51 @@
 
 asio::awaitable<AttemptResult> ForwardedRequest::attempt()
 {
-    const auto target = this->chooseTarget();
-    if (!target) {
+    const auto chosen = this->chooseTarget(UpstreamId());
+    if (!chosen) {
         this->attemptLog.append(" none");
         co_return AttemptResult::NoUpstream;
     }
+    this->usesCandidate = chosen->usesCandidate;
+    const UpstreamEntry &target = chosen->entry;
     LastReason reason;
-    const auto endpoint = parseEndpoint(target->address, reason);
+    const auto endpoint = parseEndpoint(target.address, reason);
     const TimePoint startedAt = bootClockNow();
     ++this->attempts;
     AttemptResult result = AttemptResult::Unreachable;
     this->isConnectionReusable = false;
-    this->attemptLog.append(" ").append(target->id.str()).append(this->usesCandidate ? "/new" : "");
+    this->attemptLog.append(" ").append(target.id.str()).append(this->usesCandidate ? "/new" : "");
     if (!this->route().sizes.empty()) {
         this->attemptLog.append("/size").append(std::to_string(this->sizeIndex));
     }
     if (endpoint) {
-        const RunningGuard running(this->context.fleetView.upstreams, target->id);
+        const RunningGuard running(this->context.fleetView.upstreams, target.id);
         std::unique_ptr<HttpCall> connection;
         if (this->isRepeatable()) {
-            connection = this->context.pool.take(target->address, startedAt);
+            connection = this->context.pool.take(target.address, startedAt);
         }
         const bool reused = connection != nullptr;
         if (!reused) {
             const CallLimits limits{.connect = std::min(connectLimit, this->remainingTime()),
                                     .acknowledgementTimeout = unacknowledgedLimit};
             connection
-                = std::make_unique<HttpCall>(this->context.io.get_executor(), target->id.str(), *endpoint, limits);
+                = std::make_unique<HttpCall>(this->context.io.get_executor(), target.id.str(), *endpoint, limits);
         }
         this->call = connection.get();
         if (reused || co_await connection->connect(reason)) {
-            result = co_await this->attemptAt(*target, *connection);
+            connection->onTimeout([this, &target]() { return this->extendWait(target.id); });
+            result = co_await this->attemptAt(target, *connection);
+            connection->onTimeout({});
         }
         this->call = nullptr;
         if (this->isConnectionReusable && connection->reusable()) {
-            this->context.pool.keep(target->address, std::move(connection), bootClockNow());
+            this->context.pool.keep(target.address, std::move(connection), bootClockNow());
         }
     }
     if (this->clientDisconnected && result != AttemptResult::Delivered) {
         result = AttemptResult::ClientDisconnected;
     }
-    this->recordResult(*target, result);
+    this->recordResult(target, result);
     const auto took = (bootClockNow() - startedAt).count();
     this->attemptLog.append(":").append(resultName(result)).append(":").append(std::to_string(took)).append("ms");
     if (this->events > 0) {
@@ -391,28 +391,22 @@
     return dispatch;
 }
 
-bool ForwardedRequest::isLastRun() const
-{
-    return !this->isRepeatable() || this->possibleRuns >= this->route().maxAttempts
-        || this->context.budget.remaining(this->service(), bootClockNow()) < 1;
-}
-
 Milliseconds ForwardedRequest::answerTimeout() const
 {
-    const Milliseconds left = std::max(this->remainingTime(), Milliseconds(1));
-    if (this->isLastRun()) {
-        return left;
-    }
     const double factor = this->route().streams ? firstEventFactor : answerFactor;
-    return std::min(left, scaled(this->route().objective, factor));
+    return this->silenceLimit(scaled(this->route().objective, factor));
 }
 
 Milliseconds ForwardedRequest::eventTimeout() const
+{
+    return this->silenceLimit(this->route().interEventObjective);
+}
+
+Milliseconds ForwardedRequest::silenceLimit(Milliseconds expected) const
 {
     const Milliseconds left = std::max(this->remainingTime(), Milliseconds(1));
-    const Milliseconds objective = this->route().interEventObjective;
-    return std::min(left,
-                    this->isLastRun() ? objective * lastAttemptInterEventFactor : scaled(objective, interEventFactor));
+    const bool isLastRun = !this->isRepeatable() || this->possibleRuns >= this->route().maxAttempts;
+    return isLastRun ? left : std::min(left, expected);
 }
 
 } // namespace parsleyvane
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 namespace parsleyvane {
 
@@ -22,6 +23,8 @@
 constexpr unsigned maxDispatches = 4;
 /// Maximum attempts of one request, failed connections included.
 constexpr unsigned maxTotalAttempts = 8;
+/// Interval at which a silent upstream is checked for whether another one may take over.
+constexpr Milliseconds silenceCheckInterval{250};
 constexpr const char *quarantineDetail = "the request crashed the upstreams that ran it";
 
 std::string secondsText(Milliseconds duration)
@@ -207,35 +210,59 @@
     if (!why.empty()) {
         return false;
     }
-    if (this->exchange.answered()) {
-        this->context.budget.spend(this->service(), bootClockNow());
-    } else if (this->dispatches > 0 && result != AttemptResult::PoorAnswer && result != AttemptResult::Unreachable
-               && result != AttemptResult::Withdrawn && !this->context.budget.take(this->service(), bootClockNow())) {
+    const bool isPaid = std::exchange(this->isRetryPaid, false) || this->dispatches == 0
+        || result == AttemptResult::PoorAnswer || result == AttemptResult::Unreachable
+        || result == AttemptResult::Withdrawn;
+    if (!isPaid && !this->payForRetry()) {
         why = "repeat_budget";
     }
     return why.empty();
 }
 
-std::optional<UpstreamEntry> ForwardedRequest::chooseTarget()
+bool ForwardedRequest::payForRetry()
+{
+    if (this->exchange.answered()) {
+        // Without a retry the answer that has begun would be lost.
+        this->context.budget.spend(this->service(), bootClockNow());
+        return true;
+    }
+    return this->context.budget.take(this->service(), bootClockNow());
+}
+
+Milliseconds ForwardedRequest::extendWait(const UpstreamId &silent)
+{
+    const Milliseconds left = this->remainingTime();
+    if (left <= Milliseconds(0)) {
+        return Milliseconds(0);
+    }
+    this->isRetryPaid = this->retryObstacle().empty() && this->chooseTarget(silent) && this->payForRetry();
+    return this->isRetryPaid ? Milliseconds(0) : std::min(left, silenceCheckInterval);
+}
+
+std::optional<ForwardedRequest::Target> ForwardedRequest::chooseTarget(const UpstreamId &excluded) const
 {
     VersionShift &shift = shiftOf(this->context, this->service());
     const TimePoint now = bootClockNow();
-    this->usesCandidate = shift.routesToCandidate(this->facts.session, this->shareSample, now);
+    bool usesCandidate = shift.routesToCandidate(this->facts.session, this->shareSample, now);
     UpstreamRequirements requirements{.service = this->service(), .zone = this->context.zone, .tried = this->sentTo};
+    requirements.excluded = excluded;
     requirements.affinity = this->affinityKey();
     for (std::size_t part = 0; part + 1 < this->facts.prompt.size(); ++part) {
         requirements.affinityTokens += this->facts.prompt.at(part).tokens;
     }
     requirements.versionAllowed = [&](const VersionName &version) {
-        return shift.allows(version, this->usesCandidate);
+        return shift.allows(version, usesCandidate);
     };
-    auto target = chooseUpstream(this->context.fleetView.upstreams, requirements, now, this->context.random);
+    auto entry = chooseUpstream(this->context.fleetView.upstreams, requirements, now, this->context.random);
     const bool mayChange = shift.state() != RolloutState::RolledBack && !shift.isBad();
-    if (!target && (this->usesCandidate || mayChange) && shift.state()) {
-        this->usesCandidate = !this->usesCandidate;
-        target = chooseUpstream(this->context.fleetView.upstreams, requirements, now, this->context.random);
+    if (!entry && (usesCandidate || mayChange) && shift.state()) {
+        usesCandidate = !usesCandidate;
+        entry = chooseUpstream(this->context.fleetView.upstreams, requirements, now, this->context.random);
+    }
+    if (!entry) {
+        return std::nullopt;
     }
-    return target;
+    return Target{std::move(*entry), usesCandidate};
 }
 
 asio::awaitable<void> ForwardedRequest::finish()
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -55,6 +55,12 @@
             this->armWatchdog();
             return;
         }
+        const Milliseconds extension = this->timeoutHandler ? this->timeoutHandler() : Milliseconds(0);
+        if (extension.count() > 0) {
+            this->deadline += extension;
+            this->armWatchdog();
+            return;
+        }
         this->expired = true;
         this->close();
     });
@@ -98,6 +104,11 @@
     this->limits.progress = limit;
 }
 
+void HttpCall::onTimeout(std::function<Milliseconds()> handler)
+{
+    this->timeoutHandler = std::move(handler);
+}
+
 void HttpCall::suspendTimeouts()
 {
     this->isWatchdogActive = false;
--- a/tests/scriptedupstream.h
+++ b/tests/scriptedupstream.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <string>
@@ -20,8 +21,9 @@
     std::string answer;
     bool closesConnection = true; ///< the connection closes after the answer
     bool staysSilent = false; ///< sends nothing after the answer until the client closes the connection
-    std::function<void()> onSent; ///< called after the answer, once the client has had time to read it
-    std::string rest; ///< sent after onSent
+    std::function<void()> onSent; ///< called after the answer and the pause, in which the client reads the answer
+    std::string rest; ///< sent after the pause
+    std::chrono::milliseconds pause{20};
 };
 
 /// @brief An upstream that sends its scripted answers in order and repeats the last one.
@@ -91,9 +93,11 @@
             boost::system::error_code error;
             const auto answer = asio::buffer(response.answer);
             co_await asio::async_write(socket, answer, asio::redirect_error(asio::use_awaitable, error));
+            if (response.onSent || !response.rest.empty()) {
+                asio::steady_timer pause(socket.get_executor(), response.pause);
+                co_await pause.async_wait(asio::use_awaitable);
+            }
             if (response.onSent) {
-                asio::steady_timer readDelay(socket.get_executor(), std::chrono::milliseconds(20));
-                co_await readDelay.async_wait(asio::use_awaitable);
                 response.onSent();
             }
             if (!response.rest.empty()) {
