--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -210,6 +210,28 @@
         + "\r\nConnection: close\r\nContent-Length: 2\r\n" + more + "\r\nhi";
 }
 
+/// @brief A refusal by an upstream that has not run the request.
+inline const std::string notExecutedAnswer
+    = "HTTP/1.1 503 Full\r\nX-Parsleyvane-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// @brief Header line with a client's API key.
+inline std::string credentialHeader(const std::string &key)
+{
+    return "X-Parsleyvane-Credential: " + key + "\r\n";
+}
+
+/// @brief Header line with the time that a client waits.
+inline std::string deadlineHeader(Milliseconds timeout)
+{
+    return "X-Parsleyvane-Deadline-Ms: " + std::to_string(timeout.count()) + "\r\n";
+}
+
+/// @brief Header line with a model's confidence in its answer.
+inline std::string confidenceHeader(int confidence)
+{
+    return "X-Parsleyvane-Confidence: " + std::to_string(confidence) + "\r\n";
+}
+
 /// @brief An upstream's complete answer.
 inline std::string upstreamAnswer(int status, const std::string &body, const std::string &id = "r-1",
                                   const std::string &more = "X-Parsleyvane-Server-Signature: sig\r\n")
--- a/tests/unit-net-forward-reconfiguration.cpp
+++ b/tests/unit-net-forward-reconfiguration.cpp
@@ -9,7 +9,10 @@
 
 using test::chunkedEvent;
 using test::clientRequest;
+using test::confidenceHeader;
+using test::credentialHeader;
 using test::ForwardRig;
+using test::notExecutedAnswer;
 using test::ScriptedResponse;
 using test::streamHead;
 using test::upstreamAnswer;
@@ -28,7 +31,6 @@
 constexpr int statusReset = 0; ///< the connection ended without a complete answer
 
 const std::string lastChunk = "0\r\n\r\n";
-const std::string notExecutedAnswer = "HTTP/1.1 503 Full\r\nX-Parsleyvane-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
 std::string describe(Kind kind, Change change)
 {
@@ -83,7 +85,7 @@
     return table;
 }
 
-const std::string confidentHead = streamHead("r-1", "X-Parsleyvane-Confidence: 100\r\n");
+const std::string confidentHead = streamHead("r-1", confidenceHeader(100));
 
 /// An upstream's complete answer.
 std::string answerTo(Kind kind)
@@ -145,7 +147,7 @@
 
     std::string send()
     {
-        return this->rig.exchange(clientRequest("/r/", "r-1", "X-Parsleyvane-Credential: key\r\n"));
+        return this->rig.exchange(clientRequest("/r/", "r-1", credentialHeader("key")));
     }
 
     /// Expects what the new configuration says, since the request has not run.
@@ -328,7 +330,7 @@
     {
         forEach(isStream, [](Reconfiguration &test) {
             const std::string poorAnswer
-                = streamHead("r-1", "X-Parsleyvane-Confidence: 0\r\n") + chunkedEvent(1) + chunkedEvent(2) + lastChunk;
+                = streamHead("r-1", confidenceHeader(0)) + chunkedEvent(1) + chunkedEvent(2) + lastChunk;
             test.rig.upstream("u", {{"", true, false, test.apply(), poorAnswer}, {answerTo(test.kind)}});
             test.expectAnswer(isRepeatable(test.kind) ? 2 : 1);
         });
--- a/tests/unit-net-forward-silence.cpp
+++ b/tests/unit-net-forward-silence.cpp
@@ -6,6 +6,7 @@
 
 using test::chunkedEvent;
 using test::clientRequest;
+using test::deadlineHeader;
 using test::ForwardRig;
 using test::ScriptedResponse;
 using test::streamHead;
@@ -113,7 +114,7 @@
         rig.route("often", Repeatability::Always);
         rig.upstream("u", {{"", true, true}});
         const TimePoint startedAt = bootClockNow();
-        const std::string answer = rig.exchange(clientRequest("/often/", "r-1", "X-Parsleyvane-Deadline-Ms: 600\r\n"));
+        const std::string answer = rig.exchange(clientRequest("/often/", "r-1", deadlineHeader(Milliseconds(600))));
         CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 504"));
         CPPUNIT_ASSERT(bootClockNow() - startedAt < Milliseconds(1100));
     }
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -8,13 +8,13 @@
 using test::chunkedEvent;
 using test::clientRequest;
 using test::ForwardRig;
+using test::notExecutedAnswer;
 using test::streamHead;
 using test::upstreamAnswer;
 
 namespace {
 
 const std::string signature = "X-Parsleyvane-Server-Signature";
-const std::string notExecutedAnswer = "HTTP/1.1 503 Full\r\nX-Parsleyvane-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
 bool contains(const std::string &text, const std::string &part)
 {
