Attribute an attempt's evidence to the version that gave it

Callers saw (read in the code and in the test, not in a play): a good version may be rolled back, and a bad one be found late, when an order follows another one.

Cause: an attempt's result was counted by usesCandidate of the order at the time of its choice, in the shift's present order. After a completed roll-out every attempt uses the candidate, so all that are in flight at the next order count as answers of its new version; those sent without an order to the new version count as its predecessor's.

Now the version of the attempt's upstream is compared with the version of the present order when the result is recorded.

Ruled out: dropping results that were sent under another order; they are true of their version and the baseline needs them.

Test: anAnswerUnderAnEarlierOrderIsNoEvidenceAboutTheNextVersion, red before (1 answer of the candidate, 0 expected). unit-net-forward and unit-versionshift pass.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -126,6 +126,7 @@
     double shareSample = 0; ///< hash of the request id, from 0 to 1; selects service and version in every attempt
     std::size_t sizeIndex = 0; ///< index of the model in the sizes of the route
     bool usesCandidate = false; ///< the latest attempt targets the version that is being rolled out
+    VersionName version; ///< software version of the latest attempt's upstream
     std::set<UpstreamId> sentTo;
     unsigned possibleRuns = 0; ///< attempts that may have run the request
     unsigned dispatches = 0; ///< attempts that began to send the request
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -113,7 +113,8 @@
     /// @param randomValue uniform in [0, 1), used for a request without a session
     /// @return whether the new version gets the request
     bool routesToCandidate(const std::string &session, double randomValue, TimePoint now);
-    /// @brief Counts an answer. @param candidate whether the new version gave it @param good whether it succeeded
+    /// @brief Counts an answer. @param candidate isCandidate() of its upstream's version @param good whether it
+    /// succeeded
     void onAnswer(const RouteName &route, bool candidate, bool good);
     /// @brief Adds a latency sample: the duration of an answer, or a multiple of its stream's inter-event latency.
     /// Outside a roll-out all samples go into the predecessor's baseline. Within one, samples from rampBegin on are
@@ -144,6 +145,12 @@
     /// @brief Whether an upstream of this version may serve a request; always true without an order.
     /// @param candidate whether routesToCandidate() assigned the request to the new version
     bool allows(const VersionName &version, bool candidate) const;
+    /// @brief Whether it is the version that the current order rolls out. An attempt may have been sent under an
+    /// earlier order, or none.
+    bool isCandidate(const VersionName &version) const noexcept
+    {
+        return this->current && version == this->current->to;
+    }
     /// @brief Whether this instance found the new version bad.
     bool isBad() const noexcept
     {
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -94,6 +94,7 @@
         co_return AttemptResult::NoUpstream;
     }
     this->usesCandidate = chosen->usesCandidate;
+    this->version = chosen->entry.version;
     const UpstreamEntry &target = chosen->entry;
     LastReason reason;
     const auto endpoint = parseEndpoint(target.address, reason);
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -71,7 +71,7 @@
 {
     VersionShift &shift = shiftOf(this->context, this->service());
     const std::string kind = this->route().name.str() + "/" + std::to_string(this->sizeIndex);
-    shift.onTimeToFirstEvent(this->usesCandidate, kind, now - this->sentAt, this->sentAt);
+    shift.onTimeToFirstEvent(shift.isCandidate(this->version), kind, now - this->sentAt, this->sentAt);
     this->announceEvidence(shift);
 }
 
@@ -88,8 +88,8 @@
     const auto intervals = static_cast<std::int64_t>(this->events - 1);
     const std::string kind = this->route().name.str() + "/" + std::to_string(this->sizeIndex);
     this->isEventLatencyRecorded = true;
-    shift.onLatency(this->usesCandidate, kind, (bootClockNow() - this->firstEventAt) * referenceIntervals / intervals,
-                    this->sentAt);
+    const Milliseconds latency = (bootClockNow() - this->firstEventAt) * referenceIntervals / intervals;
+    shift.onLatency(shift.isCandidate(this->version), kind, latency, this->sentAt);
     this->announceEvidence(shift);
 }
 
@@ -111,14 +111,15 @@
         this->recordTimeToFirstEvent(now);
         return;
     }
+    const bool isCandidate = shift.isCandidate(this->version);
     const bool isAnswerLate = result == AttemptResult::Silent && !this->route().streams;
     if (result == AttemptResult::Failed || isAnswerLate) {
-        shift.onAnswer(this->route().name, this->usesCandidate, false);
+        shift.onAnswer(this->route().name, isCandidate, false);
     } else if (result == AttemptResult::Delivered) {
         // A request that may run only once is answered with whatever came, including a server error.
-        shift.onAnswer(this->route().name, this->usesCandidate, !this->upstreamFailed);
+        shift.onAnswer(this->route().name, isCandidate, !this->upstreamFailed);
         if (!this->route().streams && !this->upstreamFailed) {
-            shift.onLatency(this->usesCandidate, kind, now - this->sentAt, this->sentAt);
+            shift.onLatency(isCandidate, kind, now - this->sentAt, this->sentAt);
         }
     } else {
         return;
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(aLateFirstEventIsNotCountedAsAnAnswer);
     CPPUNIT_TEST(aLateFirstEventIsEvidenceOfASlowVersion);
     CPPUNIT_TEST(aRunOnceServerErrorIsCountedAsBad);
+    CPPUNIT_TEST(anAnswerUnderAnEarlierOrderIsNoEvidenceAboutTheNextVersion);
     CPPUNIT_TEST(aStreamThatMayNotResumeIsAborted);
     CPPUNIT_TEST(aStreamWithAMissingEventIsAborted);
     CPPUNIT_TEST(aRequestToASilentUpstreamIsRetriedInTime);
@@ -306,6 +307,24 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, predecessor.bad);
     }
 
+    void anAnswerUnderAnEarlierOrderIsNoEvidenceAboutTheNextVersion()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        VersionShift &shift = rig.rollOut();
+        const ServiceName service("s");
+        shift.onStatus({.service = service, .to = VersionName("v2"), .state = RolloutState::Completed, .order = 1},
+                       bootClockNow());
+        const auto orderNext = [&]() {
+            shift.onOrder({.service = service, .to = VersionName("v3"), .duration = Milliseconds(10000), .number = 2});
+        };
+        rig.upstream("u", {{"", true, false, orderNext, upstreamAnswer(500, "failed")}}, "v2");
+        rig.exchange(clientRequest("/once/x"));
+        const RouteAnswers answers = shift.report().routes.at(RouteName("once"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, answers.candidate.served);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, answers.predecessor.bad);
+    }
+
     void aStreamThatMayNotResumeIsAborted()
     {
         ForwardRig rig;
