Check the roll-out and the process again before the first byte

Callers saw (read in the code and in the tests, not in a play): a request that was chosen before a roll-out order, its roll-back or a restart is sent to the version that it may no longer use; a session changes its version, and a bad version gets requests after it was rolled back.

Cause: between the choice of an upstream and the first byte lies a connect of up to 400 ms. The check after it compared address and service, not the process, its version and the roll-out of the choice.

Now the whole entry must be the same, and so must the roll-out's order, state and verdict; else another upstream is chosen, as for a withdrawn one. Nothing was sent, so this costs no retry.

Ruled out: comparing versions only; at the end of a roll-out the old upstreams stop at once, so their requests must be chosen anew as well.

Tests: anOrderThatArrivesBeforeTheFirstByteIsFollowed, aRollBackThatArrivesBeforeTheFirstByteIsFollowed, aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed, red before.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -60,6 +60,7 @@
     {
         UpstreamEntry entry;
         bool usesCandidate = false; ///< it runs the version that is being rolled out
+        RolloutPhase rollout; ///< at the time of the choice
     };
 
     /// An upstream's complete answer.
@@ -126,6 +127,7 @@
     double shareSample = 0; ///< hash of the request id, from 0 to 1; selects service and version in every attempt
     std::size_t sizeIndex = 0; ///< index of the model in the sizes of the route
     bool usesCandidate = false; ///< the latest attempt targets the version that is being rolled out
+    RolloutPhase rollout; ///< under which the latest attempt's upstream was chosen
     VersionName version; ///< software version of the latest attempt's upstream
     std::set<UpstreamId> sentTo;
     unsigned possibleRuns = 0; ///< attempts that may have run the request
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -42,6 +42,16 @@
     friend bool operator==(const RolloutStatus &, const RolloutStatus &) = default;
 };
 
+/// @brief What a choice of version depends on besides time.
+struct RolloutPhase
+{
+    std::optional<std::uint64_t> order; ///< RolloutOrder::number; empty without an order
+    std::optional<RolloutState> state;
+    bool isBad = false; ///< this instance found the new version bad
+
+    friend bool operator==(const RolloutPhase &, const RolloutPhase &) = default;
+};
+
 /// @brief Answers on one route since the order was received; the counters never decrease.
 struct RouteAnswers
 {
@@ -142,6 +152,7 @@
     }
     /// @brief The agreed state of the current order; empty until an instance has written it.
     std::optional<RolloutState> state() const noexcept;
+    RolloutPhase phase() const noexcept;
     /// @brief Whether an upstream of this version may serve a request; always true without an order.
     /// @param candidate whether routesToCandidate() assigned the request to the new version
     bool allows(const VersionName &version, bool candidate) const;
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -121,6 +121,15 @@
     return this->status->state;
 }
 
+RolloutPhase VersionShift::phase() const noexcept
+{
+    RolloutPhase now{.order = std::nullopt, .state = this->state(), .isBad = this->bad};
+    if (this->current) {
+        now.order = this->current->number;
+    }
+    return now;
+}
+
 bool VersionShift::allows(const VersionName &version, bool candidate) const
 {
     if (!this->current) {
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -95,6 +95,7 @@
     }
     this->usesCandidate = chosen->usesCandidate;
     this->version = chosen->entry.version;
+    this->rollout = chosen->rollout;
     const UpstreamEntry &target = chosen->entry;
     LastReason reason;
     const auto endpoint = parseEndpoint(target.address, reason);
@@ -349,8 +350,8 @@
 bool ForwardedRequest::isTargetStillValid(const UpstreamEntry &target) const
 {
     const RegisteredUpstream *upstream = this->context.fleetView.upstreams.find(target.id);
-    const bool isSameTarget = upstream != nullptr && !upstream->entry.draining && !upstream->reportedDraining
-        && upstream->entry.address == target.address && upstream->entry.service == target.service;
+    const bool isSameTarget = upstream != nullptr && !upstream->reportedDraining && upstream->entry == target
+        && shiftOf(this->context, this->service()).phase() == this->rollout;
     if (!isSameTarget || this->combinedRunState != RunState::NotRun
         || this->resolution->table == this->context.fleetView.table) {
         return isSameTarget;
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -262,7 +262,7 @@
     if (!entry) {
         return std::nullopt;
     }
-    return Target{std::move(*entry), usesCandidate};
+    return Target{std::move(*entry), usesCandidate, shift.phase()};
 }
 
 asio::awaitable<void> ForwardedRequest::finish()
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -61,6 +61,9 @@
     CPPUNIT_TEST(aLateFirstEventIsEvidenceOfASlowVersion);
     CPPUNIT_TEST(aRunOnceServerErrorIsCountedAsBad);
     CPPUNIT_TEST(anAnswerUnderAnEarlierOrderIsNoEvidenceAboutTheNextVersion);
+    CPPUNIT_TEST(anOrderThatArrivesBeforeTheFirstByteIsFollowed);
+    CPPUNIT_TEST(aRollBackThatArrivesBeforeTheFirstByteIsFollowed);
+    CPPUNIT_TEST(aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed);
     CPPUNIT_TEST(aStreamThatMayNotResumeIsAborted);
     CPPUNIT_TEST(aStreamWithAMissingEventIsAborted);
     CPPUNIT_TEST(aRequestToASilentUpstreamIsRetriedInTime);
@@ -325,6 +328,59 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, answers.predecessor.bad);
     }
 
+    /// Runs the action once, when the connection to the first upstream is being opened.
+    static void whileConnecting(ForwardRig &rig, std::function<void()> action)
+    {
+        rig.platform.onRequestRead = [&rig, action = std::move(action)]() {
+            boost::asio::post(rig.io, action);
+        };
+    }
+
+    void anOrderThatArrivesBeforeTheFirstByteIsFollowed()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        rig.upstream("u", {{upstreamAnswer(200, "new")}}, "v2");
+        rig.remoteUpstream("v", {{upstreamAnswer(200, "old")}});
+        whileConnecting(rig, [&]() { rig.rollOut().setLimits({.maxExposedShare = 0}); });
+        CPPUNIT_ASSERT(contains(rig.exchange(clientRequest("/once/x")), "old"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatches(rig));
+    }
+
+    void aRollBackThatArrivesBeforeTheFirstByteIsFollowed()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        rig.upstream("u", {{upstreamAnswer(200, "new")}}, "v2");
+        rig.remoteUpstream("v", {{upstreamAnswer(200, "old")}});
+        VersionShift &shift = rig.rollOut();
+        shift.setLimits({.maxExposedShare = 1});
+        whileConnecting(rig, [&]() {
+            shift.onStatus(
+                {.service = ServiceName("s"), .to = VersionName("v2"), .state = RolloutState::RolledBack, .order = 1},
+                bootClockNow());
+        });
+        CPPUNIT_ASSERT(contains(rig.exchange(clientRequest("/once/x")), "old"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatches(rig));
+    }
+
+    void aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        rig.upstream("u", {{upstreamAnswer(200, "new")}});
+        rig.remoteUpstream("v", {{upstreamAnswer(200, "old")}});
+        rig.rollOut().setLimits({.maxExposedShare = 0});
+        whileConnecting(rig, [&]() {
+            UpstreamEntry entry = rig.context.fleetView.upstreams.find(UpstreamId("u"))->entry;
+            entry.version = VersionName("v2");
+            entry.startedAtMs = 2;
+            rig.context.fleetView.upstreams.update(entry);
+        });
+        CPPUNIT_ASSERT(contains(rig.exchange(clientRequest("/once/x")), "old"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatches(rig));
+    }
+
     void aStreamThatMayNotResumeIsAborted()
     {
         ForwardRig rig;
