--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -143,9 +143,6 @@
 {
     if (this->combinedRunState != RunState::NotRun) {
         // An answer that an upstream may already work on is completed under the rules that admitted it.
-        if (this->context.fleetView.crashes.isBlocked(this->fingerprint)) {
-            return Failure{.id = ErrorId::Quarantined, .step = Step::Admit, .detail = quarantineDetail};
-        }
         return std::nullopt;
     }
     LastReason reason;
@@ -201,6 +198,9 @@
     if (this->dispatches >= maxDispatches || this->attempts >= maxTotalAttempts) {
         return "tries";
     }
+    if (this->combinedRunState != RunState::NotRun && this->context.fleetView.crashes.isBlocked(this->fingerprint)) {
+        return errorName(ErrorId::Quarantined);
+    }
     return {};
 }
 
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -2,6 +2,7 @@
 
 #include "forwardrig.h"
 #include "parsleyvane/core/clock.h"
+#include "parsleyvane/membership/rendezvous.h"
 
 namespace parsleyvane {
 
@@ -64,6 +65,9 @@
     CPPUNIT_TEST(anOrderThatArrivesBeforeTheFirstByteIsFollowed);
     CPPUNIT_TEST(aRollBackThatArrivesBeforeTheFirstByteIsFollowed);
     CPPUNIT_TEST(aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed);
+    CPPUNIT_TEST(aPoorAnswerIsRelayedWhenNoUpstreamIsLeft);
+    CPPUNIT_TEST(aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile);
+    CPPUNIT_TEST(aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile);
     CPPUNIT_TEST(aStreamThatMayNotResumeIsAborted);
     CPPUNIT_TEST(aStreamWithAMissingEventIsAborted);
     CPPUNIT_TEST(aRequestToASilentUpstreamIsRetriedInTime);
@@ -381,6 +385,75 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatches(rig));
     }
 
+    /// Adds a resumable stream with two models.
+    static void routeWithSizes(ForwardRig &rig)
+    {
+        rig.table->addRoute({.name = RouteName("sized"),
+                             .host = "h",
+                             .prefix = "/sized/",
+                             .repeat = Repeatability::Resumable,
+                             .streams = true,
+                             .timeout = Milliseconds(1200),
+                             .objective = Milliseconds(200),
+                             .interEventObjective = Milliseconds(200),
+                             .maxAttempts = 3,
+                             .sizes = {ModelName("small"), ModelName("large")},
+                             .services = {{ServiceName("s"), 1}}});
+    }
+
+    static std::string poorAnswer()
+    {
+        return streamHead("r-1", "X-Parsleyvane-Confidence: 0\r\n") + chunkedEvent(1) + "0\r\n\r\n";
+    }
+
+    /// Reports three crashes of the request with this path, on different upstreams.
+    static void quarantine(ForwardRig &rig, const std::string &path)
+    {
+        const Fingerprint print(std::to_string(rendezvousWeight("\n" + path, "hi")));
+        for (const char *site : {"a@1", "b@1", "c@1"}) {
+            rig.context.fleetView.crashes.onLost(print, site, bootClockNow());
+        }
+    }
+
+    void aPoorAnswerIsRelayedWhenNoUpstreamIsLeft()
+    {
+        ForwardRig rig;
+        routeWithSizes(rig);
+        const auto remove = [&]() {
+            rig.context.fleetView.upstreams.remove(UpstreamId("u"), bootClockNow());
+        };
+        rig.upstream("u", {{"", true, false, remove, poorAnswer()}});
+        const std::string answer = rig.exchange(clientRequest("/sized/"));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(answer));
+        CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+    }
+
+    void aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile()
+    {
+        ForwardRig rig;
+        routeWithSizes(rig);
+        const auto block = [&]() {
+            quarantine(rig, "/sized/");
+        };
+        rig.upstream("u", {{"", true, false, block, poorAnswer()}});
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/sized/"))));
+    }
+
+    void aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Resumable, true);
+        rig.upstream("u",
+                     {{.answer = streamHead() + chunkedEvent(1),
+                       .rest = chunkedEvent(2) + "0\r\n\r\n",
+                       .pause = std::chrono::milliseconds(700)}});
+        rig.remoteUpstream("v", {{streamHead() + chunkedEvent(2) + "0\r\n\r\n"}});
+        rig.platform.onUpstreamRequest = [&]() {
+            quarantine(rig, "/stream/");
+        };
+        CPPUNIT_ASSERT(rig.exchange(clientRequest("/stream/")).ends_with("0\r\n\r\n"));
+    }
+
     void aStreamThatMayNotResumeIsAborted()
     {
         ForwardRig rig;
