Keep what was learned at a replaced process from the new one

Cause: UpstreamList took results and counts by id. A 421 from the address of the old process marked the new one as draining; a loss at the old one shunned it; after a removal and a new registration the end of an old attempt uncounted a new one.

Now an attempt's entry names the process by id, start and address. A result at a replaced process is ignored, and attempts in flight are counted by process, so an entry that returns finds its own again.

Ruled out: a number per registration; an upstream whose entry only lapsed would lose the results of its attempts.

Tests: aRefusalByTheReplacedProcessDoesNotConcernTheNewOne, theOutcomeOfAnAttemptAtAReplacedProcessIsIgnored, theEndOfAnAttemptAtAReplacedProcessIsNotCounted, anEntryThatReturnsKeepsItsAttemptsInFlight, red before (run with the calls by id). Other calls in unit-ingress name the entry instead of the id.

--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace parsleyvane {
@@ -45,7 +46,7 @@
 struct RegisteredUpstream
 {
     UpstreamEntry entry;
-    unsigned running = 0; ///< attempts of this instance in flight
+    unsigned running = 0; ///< attempts of this instance in flight at this process
     TimePoint avoidUntil{}; ///< until then, used only if no other untried upstream is available
     Milliseconds backoff{0}; ///< length of the latest avoidance period
     double failureRate = 0; ///< exponential moving average over its attempts
@@ -90,12 +91,13 @@
     void onStoreReachable(TimePoint now);
     /// @brief Removes lapsed entries once the grace period has passed. @return their ids. Complexity: linear.
     std::vector<UpstreamId> expire(TimePoint now);
-    /// @brief Counts an attempt as in flight.
-    void begin(const UpstreamId &id);
+    /// @brief Counts an attempt as in flight. @param target the entry that the attempt was made for
+    void begin(const UpstreamEntry &target);
     /// @brief Ends an attempt that begin() counted, whatever its result.
-    void end(const UpstreamId &id);
-    /// @brief Updates the upstream's failure rate, backoff and availability from the result of an attempt.
-    void recordOutcome(const UpstreamId &id, UpstreamOutcome verdict, TimePoint now);
+    void end(const UpstreamEntry &target);
+    /// @brief Updates the upstream's failure rate, backoff and availability from the result of an attempt; one at a
+    /// process that was replaced meanwhile is ignored.
+    void recordOutcome(const UpstreamEntry &target, UpstreamOutcome verdict, TimePoint now);
 
     // observers
     const RegisteredUpstream *find(const UpstreamId &id) const;
@@ -107,8 +109,16 @@
     }
 
 private:
+    /// A process: another one may register under the same id.
+    using Process = std::tuple<UpstreamId, std::int64_t, std::string>;
+
+    static Process processOf(const UpstreamEntry &entry);
+    RegisteredUpstream *findProcess(const UpstreamEntry &target);
+    unsigned attemptsAt(const UpstreamEntry &target) const;
+
     UpstreamListLimits limits;
     std::map<UpstreamId, RegisteredUpstream> upstreams;
+    std::map<Process, unsigned> attempts; ///< in flight, also at processes that are no longer registered
     bool storeUnreachable = false;
     TimePoint storeReachableSince{};
 };
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -30,6 +30,7 @@
         upstream.reportedDraining = false;
     }
     upstream.entry = entry;
+    upstream.running = this->attemptsAt(entry);
     if (isNew || restarted) {
         return entry.draining ? "draining" : "ready";
     }
@@ -105,29 +106,54 @@
     return expired;
 }
 
-void UpstreamList::begin(const UpstreamId &id)
+UpstreamList::Process UpstreamList::processOf(const UpstreamEntry &entry)
 {
-    const auto found = this->upstreams.find(id);
-    if (found != this->upstreams.end()) {
-        ++found->second.running;
+    return {entry.id, entry.startedAtMs, entry.address};
+}
+
+RegisteredUpstream *UpstreamList::findProcess(const UpstreamEntry &target)
+{
+    const auto found = this->upstreams.find(target.id);
+    const bool isRegistered = found != this->upstreams.end() && processOf(found->second.entry) == processOf(target);
+    return isRegistered ? &found->second : nullptr;
+}
+
+unsigned UpstreamList::attemptsAt(const UpstreamEntry &target) const
+{
+    const auto found = this->attempts.find(processOf(target));
+    return found != this->attempts.end() ? found->second : 0;
+}
+
+void UpstreamList::begin(const UpstreamEntry &target)
+{
+    const unsigned running = ++this->attempts[processOf(target)];
+    if (RegisteredUpstream *upstream = this->findProcess(target)) {
+        upstream->running = running;
     }
 }
 
-void UpstreamList::end(const UpstreamId &id)
+void UpstreamList::end(const UpstreamEntry &target)
 {
-    const auto found = this->upstreams.find(id);
-    if (found != this->upstreams.end() && found->second.running > 0) {
-        --found->second.running;
+    const auto found = this->attempts.find(processOf(target));
+    if (found == this->attempts.end()) {
+        return;
+    }
+    const unsigned running = --found->second;
+    if (running == 0) {
+        this->attempts.erase(found);
+    }
+    if (RegisteredUpstream *upstream = this->findProcess(target)) {
+        upstream->running = running;
     }
 }
 
-void UpstreamList::recordOutcome(const UpstreamId &id, UpstreamOutcome verdict, TimePoint now)
+void UpstreamList::recordOutcome(const UpstreamEntry &target, UpstreamOutcome verdict, TimePoint now)
 {
-    const auto found = this->upstreams.find(id);
-    if (found == this->upstreams.end()) {
+    RegisteredUpstream *registered = this->findProcess(target);
+    if (registered == nullptr) {
         return;
     }
-    RegisteredUpstream &upstream = found->second;
+    RegisteredUpstream &upstream = *registered;
     const bool failed
         = verdict == UpstreamOutcome::Failed || verdict == UpstreamOutcome::Lost || verdict == UpstreamOutcome::Silent;
     upstream.failureRate += this->limits.failureWeight * ((failed ? 1.0 : 0.0) - upstream.failureRate);
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -66,22 +66,23 @@
 class RunningGuard
 {
 public:
-    RunningGuard(UpstreamList &list, UpstreamId id)
+    /// @param target must outlive the guard
+    RunningGuard(UpstreamList &list, const UpstreamEntry &target)
         : list(list)
-        , id(std::move(id))
+        , target(target)
     {
-        this->list.begin(this->id);
+        this->list.begin(this->target);
     }
     RunningGuard(const RunningGuard &) = delete;
     RunningGuard &operator=(const RunningGuard &) = delete;
     ~RunningGuard()
     {
-        this->list.end(this->id);
+        this->list.end(this->target);
     }
 
 private:
     UpstreamList &list;
-    UpstreamId id;
+    const UpstreamEntry &target;
 };
 
 } // namespace
@@ -108,7 +109,7 @@
         this->attemptLog.append("/size").append(std::to_string(this->sizeIndex));
     }
     if (endpoint) {
-        const RunningGuard running(this->context.fleetView.upstreams, target.id);
+        const RunningGuard running(this->context.fleetView.upstreams, target);
         std::unique_ptr<HttpCall> connection;
         if (this->isRepeatable()) {
             connection = this->context.pool.take(target.address, startedAt);
@@ -200,7 +201,7 @@
         }
         if (answer.notRun && !isSuccess(*status)) {
             if (*status == statusMisdirected) {
-                this->context.fleetView.upstreams.recordOutcome(target.id, UpstreamOutcome::ReportedDraining,
+                this->context.fleetView.upstreams.recordOutcome(target, UpstreamOutcome::ReportedDraining,
                                                                 bootClockNow());
             }
             co_return AttemptResult::Refused;
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -21,17 +21,17 @@
     const TimePoint now = bootClockNow();
     switch (result) {
     case AttemptResult::Delivered:
-        upstreams.recordOutcome(target.id, UpstreamOutcome::Answered, now);
+        upstreams.recordOutcome(target, UpstreamOutcome::Answered, now);
         this->context.fleetView.crashes.onAnswered(this->fingerprint);
         break;
     case AttemptResult::Unreachable:
-        upstreams.recordOutcome(target.id, UpstreamOutcome::Unreachable, now);
+        upstreams.recordOutcome(target, UpstreamOutcome::Unreachable, now);
         break;
     case AttemptResult::Refused:
-        upstreams.recordOutcome(target.id, UpstreamOutcome::Refused, now);
+        upstreams.recordOutcome(target, UpstreamOutcome::Refused, now);
         break;
     case AttemptResult::Lost:
-        upstreams.recordOutcome(target.id, UpstreamOutcome::Lost, now);
+        upstreams.recordOutcome(target, UpstreamOutcome::Lost, now);
         if (this->events == 0) {
             this->context.fleetView.crashes.onLost(this->fingerprint,
                                                    target.id.str() + "@" + std::to_string(target.startedAtMs), now);
@@ -41,14 +41,14 @@
         }
         break;
     case AttemptResult::Silent:
-        upstreams.recordOutcome(target.id, UpstreamOutcome::Silent, now);
+        upstreams.recordOutcome(target, UpstreamOutcome::Silent, now);
         if (this->events == 0) {
             this->updateLoadLevel(now - this->sentAt);
         }
         break;
     case AttemptResult::BadData:
     case AttemptResult::Failed:
-        upstreams.recordOutcome(target.id, UpstreamOutcome::Failed, now);
+        upstreams.recordOutcome(target, UpstreamOutcome::Failed, now);
         break;
     default:
         break;
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -48,6 +48,9 @@
     CPPUNIT_TEST(anEntryThatIsRemovedWithoutAStoreOutageIsRemovedAtOnce);
     CPPUNIT_TEST(aDrainingEntryThatLapsesDuringAStoreOutageIsRemovedAtOnce);
     CPPUNIT_TEST(aRestartedUpstreamIsAvailableAtOnce);
+    CPPUNIT_TEST(theOutcomeOfAnAttemptAtAReplacedProcessIsIgnored);
+    CPPUNIT_TEST(theEndOfAnAttemptAtAReplacedProcessIsNotCounted);
+    CPPUNIT_TEST(anEntryThatReturnsKeepsItsAttemptsInFlight);
     CPPUNIT_TEST(anUpstreamThatReportedDrainingIsNotChosen);
     CPPUNIT_TEST(anUpstreamThatFailedIsChosenLast);
     CPPUNIT_TEST(anUpstreamThatWasTriedIsChosenLast);
@@ -131,8 +134,8 @@
     {
         UpstreamList list;
         list.update(entry("u"));
-        list.recordOutcome(UpstreamId("u"), UpstreamOutcome::Lost, start);
-        list.recordOutcome(UpstreamId("u"), UpstreamOutcome::ReportedDraining, start);
+        list.recordOutcome(entry("u"), UpstreamOutcome::Lost, start);
+        list.recordOutcome(entry("u"), UpstreamOutcome::ReportedDraining, start);
         UpstreamEntry restarted = entry("u");
         restarted.startedAtMs = 2;
         list.update(restarted);
@@ -140,12 +143,49 @@
         CPPUNIT_ASSERT(list.find(UpstreamId("u"))->avoidUntil <= start);
     }
 
+    void theOutcomeOfAnAttemptAtAReplacedProcessIsIgnored()
+    {
+        UpstreamList list;
+        list.update(entry("u"));
+        UpstreamEntry restarted = entry("u");
+        restarted.startedAtMs = 2;
+        list.update(restarted);
+        list.recordOutcome(entry("u"), UpstreamOutcome::Lost, start);
+        list.recordOutcome(entry("u"), UpstreamOutcome::ReportedDraining, start);
+        CPPUNIT_ASSERT(!list.find(UpstreamId("u"))->reportedDraining);
+        CPPUNIT_ASSERT(list.find(UpstreamId("u"))->avoidUntil <= start);
+    }
+
+    void theEndOfAnAttemptAtAReplacedProcessIsNotCounted()
+    {
+        UpstreamList list;
+        list.update(entry("u"));
+        list.begin(entry("u"));
+        list.remove(UpstreamId("u"), start);
+        UpstreamEntry restarted = entry("u");
+        restarted.startedAtMs = 2;
+        list.update(restarted);
+        list.begin(restarted);
+        list.end(entry("u"));
+        CPPUNIT_ASSERT_EQUAL(1U, list.find(UpstreamId("u"))->running);
+    }
+
+    void anEntryThatReturnsKeepsItsAttemptsInFlight()
+    {
+        UpstreamList list;
+        list.update(entry("u"));
+        list.begin(entry("u"));
+        list.remove(UpstreamId("u"), start);
+        list.update(entry("u"));
+        CPPUNIT_ASSERT_EQUAL(1U, list.find(UpstreamId("u"))->running);
+    }
+
     void anUpstreamThatReportedDrainingIsNotChosen()
     {
         UpstreamList list;
         std::mt19937_64 random(1);
         list.update(entry("u"));
-        list.recordOutcome(UpstreamId("u"), UpstreamOutcome::ReportedDraining, start);
+        list.recordOutcome(entry("u"), UpstreamOutcome::ReportedDraining, start);
         CPPUNIT_ASSERT(!chooseUpstream(list, question(), start, random));
     }
 
@@ -155,7 +195,7 @@
         std::mt19937_64 random(1);
         list.update(entry("bad"));
         list.update(entry("good", "far"));
-        list.recordOutcome(UpstreamId("bad"), UpstreamOutcome::Unreachable, start);
+        list.recordOutcome(entry("bad"), UpstreamOutcome::Unreachable, start);
         CPPUNIT_ASSERT_EQUAL(std::string("good"), chooseUpstream(list, question(), start, random)->id.str());
         const TimePoint later = start + Milliseconds(600);
         CPPUNIT_ASSERT_EQUAL(std::string("bad"), chooseUpstream(list, question(), later, random)->id.str());
@@ -217,7 +257,7 @@
         const UpstreamId replica = chooseUpstream(list, requirements, start, random)->id;
         constexpr int attempts = 9;
         for (int running = 0; running < attempts; ++running) {
-            list.begin(replica);
+            list.begin(entry(replica.str()));
         }
         CPPUNIT_ASSERT(chooseUpstream(list, requirements, start, random)->id != replica);
     }
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenNoUpstreamIsLeft);
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile);
     CPPUNIT_TEST(aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile);
+    CPPUNIT_TEST(aRefusalByTheReplacedProcessDoesNotConcernTheNewOne);
     CPPUNIT_TEST(aStreamThatMayNotResumeIsAborted);
     CPPUNIT_TEST(aStreamWithAMissingEventIsAborted);
     CPPUNIT_TEST(aRequestToASilentUpstreamIsRetriedInTime);
@@ -454,6 +455,24 @@
         CPPUNIT_ASSERT(rig.exchange(clientRequest("/stream/")).ends_with("0\r\n\r\n"));
     }
 
+    void aRefusalByTheReplacedProcessDoesNotConcernTheNewOne()
+    {
+        ForwardRig rig;
+        rig.route("often", Repeatability::Always);
+        UpstreamList &upstreams = rig.context.fleetView.upstreams;
+        const auto restart = [&]() {
+            UpstreamEntry entry = upstreams.find(UpstreamId("u"))->entry;
+            entry.startedAtMs = 2;
+            entry.address = "127.0.0.1:9";
+            upstreams.update(entry);
+        };
+        rig.upstream("u",
+                     {{"", true, false, restart,
+                       "HTTP/1.1 421 Other\r\nX-Parsleyvane-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"}});
+        rig.exchange(clientRequest("/often/"));
+        CPPUNIT_ASSERT(!upstreams.find(UpstreamId("u"))->reportedDraining);
+    }
+
     void aStreamThatMayNotResumeIsAborted()
     {
         ForwardRig rig;
