--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -66,22 +66,23 @@
 class RunningGuard
 {
 public:
-    RunningGuard(UpstreamList &list, UpstreamId id)
+    /// @param target must outlive the guard
+    RunningGuard(UpstreamList &list, const UpstreamEntry &target)
         : list(list)
-        , id(std::move(id))
+        , target(target)
     {
-        this->list.begin(this->id);
+        this->list.begin(this->target);
     }
     RunningGuard(const RunningGuard &) = delete;
     RunningGuard &operator=(const RunningGuard &) = delete;
     ~RunningGuard()
     {
-        this->list.end(this->id);
+        this->list.end(this->target);
     }
 
 private:
     UpstreamList &list;
-    UpstreamId id;
+    const UpstreamEntry &target;
 };
 
 } // namespace
@@ -94,6 +95,8 @@
         co_return AttemptResult::NoUpstream;
     }
     this->usesCandidate = chosen->usesCandidate;
+    this->version = chosen->entry.version;
+    this->rollout = chosen->rollout;
     const UpstreamEntry &target = chosen->entry;
     LastReason reason;
     const auto endpoint = parseEndpoint(target.address, reason);
@@ -106,7 +109,7 @@
         this->attemptLog.append("/size").append(std::to_string(this->sizeIndex));
     }
     if (endpoint) {
-        const RunningGuard running(this->context.fleetView.upstreams, target.id);
+        const RunningGuard running(this->context.fleetView.upstreams, target);
         std::unique_ptr<HttpCall> connection;
         if (this->isRepeatable()) {
             connection = this->context.pool.take(target.address, startedAt);
@@ -198,7 +201,7 @@
         }
         if (answer.notRun && !isSuccess(*status)) {
             if (*status == statusMisdirected) {
-                this->context.fleetView.upstreams.recordOutcome(target.id, UpstreamOutcome::ReportedDraining,
+                this->context.fleetView.upstreams.recordOutcome(target, UpstreamOutcome::ReportedDraining,
                                                                 bootClockNow());
             }
             co_return AttemptResult::Refused;
@@ -348,8 +351,8 @@
 bool ForwardedRequest::isTargetStillValid(const UpstreamEntry &target) const
 {
     const RegisteredUpstream *upstream = this->context.fleetView.upstreams.find(target.id);
-    const bool isSameTarget = upstream != nullptr && !upstream->entry.draining && !upstream->reportedDraining
-        && upstream->entry.address == target.address && upstream->entry.service == target.service;
+    const bool isSameTarget = upstream != nullptr && !upstream->reportedDraining && upstream->entry == target
+        && shiftOf(this->context, this->service()).phase() == this->rollout;
     if (!isSameTarget || this->combinedRunState != RunState::NotRun
         || this->resolution->table == this->context.fleetView.table) {
         return isSameTarget;
@@ -366,7 +369,7 @@
                                 .promptTokens = this->facts.promptTokens,
                                 .loadLevel = this->context.loadLevels[this->service()]};
     const auto larger = largerSize(this->route(), input, this->context.sizes);
-    if (!larger || this->exchange.answered() || !this->retryObstacle().empty()
+    if (!larger || this->exchange.answered() || !this->retryObstacle().empty() || !this->chooseTarget(UpstreamId())
         || !this->context.budget.take(this->service(), bootClockNow())) {
         return false;
     }
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -2,6 +2,7 @@
 
 #include "forwardrig.h"
 #include "parsleyvane/core/clock.h"
+#include "parsleyvane/membership/rendezvous.h"
 
 namespace parsleyvane {
 
@@ -60,6 +61,14 @@
     CPPUNIT_TEST(aLateFirstEventIsNotCountedAsAnAnswer);
     CPPUNIT_TEST(aLateFirstEventIsEvidenceOfASlowVersion);
     CPPUNIT_TEST(aRunOnceServerErrorIsCountedAsBad);
+    CPPUNIT_TEST(anAnswerUnderAnEarlierOrderIsNoEvidenceAboutTheNextVersion);
+    CPPUNIT_TEST(anOrderThatArrivesBeforeTheFirstByteIsFollowed);
+    CPPUNIT_TEST(aRollBackThatArrivesBeforeTheFirstByteIsFollowed);
+    CPPUNIT_TEST(aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed);
+    CPPUNIT_TEST(aPoorAnswerIsRelayedWhenNoUpstreamIsLeft);
+    CPPUNIT_TEST(aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile);
+    CPPUNIT_TEST(aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile);
+    CPPUNIT_TEST(aRefusalByTheReplacedProcessDoesNotConcernTheNewOne);
     CPPUNIT_TEST(aStreamThatMayNotResumeIsAborted);
     CPPUNIT_TEST(aStreamWithAMissingEventIsAborted);
     CPPUNIT_TEST(aRequestToASilentUpstreamIsRetriedInTime);
@@ -306,6 +315,164 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, predecessor.bad);
     }
 
+    void anAnswerUnderAnEarlierOrderIsNoEvidenceAboutTheNextVersion()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        VersionShift &shift = rig.rollOut();
+        const ServiceName service("s");
+        shift.onStatus({.service = service, .to = VersionName("v2"), .state = RolloutState::Completed, .order = 1},
+                       bootClockNow());
+        const auto orderNext = [&]() {
+            shift.onOrder({.service = service, .to = VersionName("v3"), .duration = Milliseconds(10000), .number = 2});
+        };
+        rig.upstream("u", {{"", true, false, orderNext, upstreamAnswer(500, "failed")}}, "v2");
+        rig.exchange(clientRequest("/once/x"));
+        const RouteAnswers answers = shift.report().routes.at(RouteName("once"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, answers.candidate.served);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, answers.predecessor.bad);
+    }
+
+    /// Runs the action once, when the connection to the first upstream is being opened.
+    static void whileConnecting(ForwardRig &rig, std::function<void()> action)
+    {
+        rig.platform.onRequestRead = [&rig, action = std::move(action)]() {
+            boost::asio::post(rig.io, action);
+        };
+    }
+
+    void anOrderThatArrivesBeforeTheFirstByteIsFollowed()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        rig.upstream("u", {{upstreamAnswer(200, "new")}}, "v2");
+        rig.remoteUpstream("v", {{upstreamAnswer(200, "old")}});
+        whileConnecting(rig, [&]() { rig.rollOut().setLimits({.maxExposedShare = 0}); });
+        CPPUNIT_ASSERT(contains(rig.exchange(clientRequest("/once/x")), "old"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatches(rig));
+    }
+
+    void aRollBackThatArrivesBeforeTheFirstByteIsFollowed()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        rig.upstream("u", {{upstreamAnswer(200, "new")}}, "v2");
+        rig.remoteUpstream("v", {{upstreamAnswer(200, "old")}});
+        VersionShift &shift = rig.rollOut();
+        shift.setLimits({.maxExposedShare = 1});
+        whileConnecting(rig, [&]() {
+            shift.onStatus(
+                {.service = ServiceName("s"), .to = VersionName("v2"), .state = RolloutState::RolledBack, .order = 1},
+                bootClockNow());
+        });
+        CPPUNIT_ASSERT(contains(rig.exchange(clientRequest("/once/x")), "old"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatches(rig));
+    }
+
+    void aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        rig.upstream("u", {{upstreamAnswer(200, "new")}});
+        rig.remoteUpstream("v", {{upstreamAnswer(200, "old")}});
+        rig.rollOut().setLimits({.maxExposedShare = 0});
+        whileConnecting(rig, [&]() {
+            UpstreamEntry entry = rig.context.fleetView.upstreams.find(UpstreamId("u"))->entry;
+            entry.version = VersionName("v2");
+            entry.startedAtMs = 2;
+            rig.context.fleetView.upstreams.update(entry);
+        });
+        CPPUNIT_ASSERT(contains(rig.exchange(clientRequest("/once/x")), "old"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatches(rig));
+    }
+
+    /// Adds a resumable stream with two models.
+    static void routeWithSizes(ForwardRig &rig)
+    {
+        rig.table->addRoute({.name = RouteName("sized"),
+                             .host = "h",
+                             .prefix = "/sized/",
+                             .repeat = Repeatability::Resumable,
+                             .streams = true,
+                             .timeout = Milliseconds(1200),
+                             .objective = Milliseconds(200),
+                             .interEventObjective = Milliseconds(200),
+                             .maxAttempts = 3,
+                             .sizes = {ModelName("small"), ModelName("large")},
+                             .services = {{ServiceName("s"), 1}}});
+    }
+
+    static std::string poorAnswer()
+    {
+        return streamHead("r-1", "X-Parsleyvane-Confidence: 0\r\n") + chunkedEvent(1) + "0\r\n\r\n";
+    }
+
+    /// Reports three crashes of the request with this path, on different upstreams.
+    static void quarantine(ForwardRig &rig, const std::string &path)
+    {
+        const Fingerprint print(std::to_string(rendezvousWeight("\n" + path, "hi")));
+        for (const char *site : {"a@1", "b@1", "c@1"}) {
+            rig.context.fleetView.crashes.onLost(print, site, bootClockNow());
+        }
+    }
+
+    void aPoorAnswerIsRelayedWhenNoUpstreamIsLeft()
+    {
+        ForwardRig rig;
+        routeWithSizes(rig);
+        const auto remove = [&]() {
+            rig.context.fleetView.upstreams.remove(UpstreamId("u"), bootClockNow());
+        };
+        rig.upstream("u", {{"", true, false, remove, poorAnswer()}});
+        const std::string answer = rig.exchange(clientRequest("/sized/"));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(answer));
+        CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+    }
+
+    void aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile()
+    {
+        ForwardRig rig;
+        routeWithSizes(rig);
+        const auto block = [&]() {
+            quarantine(rig, "/sized/");
+        };
+        rig.upstream("u", {{"", true, false, block, poorAnswer()}});
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/sized/"))));
+    }
+
+    void aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Resumable, true);
+        rig.upstream("u",
+                     {{.answer = streamHead() + chunkedEvent(1),
+                       .rest = chunkedEvent(2) + "0\r\n\r\n",
+                       .pause = std::chrono::milliseconds(700)}});
+        rig.remoteUpstream("v", {{streamHead() + chunkedEvent(2) + "0\r\n\r\n"}});
+        rig.platform.onUpstreamRequest = [&]() {
+            quarantine(rig, "/stream/");
+        };
+        CPPUNIT_ASSERT(rig.exchange(clientRequest("/stream/")).ends_with("0\r\n\r\n"));
+    }
+
+    void aRefusalByTheReplacedProcessDoesNotConcernTheNewOne()
+    {
+        ForwardRig rig;
+        rig.route("often", Repeatability::Always);
+        UpstreamList &upstreams = rig.context.fleetView.upstreams;
+        const auto restart = [&]() {
+            UpstreamEntry entry = upstreams.find(UpstreamId("u"))->entry;
+            entry.startedAtMs = 2;
+            entry.address = "127.0.0.1:9";
+            upstreams.update(entry);
+        };
+        rig.upstream("u",
+                     {{"", true, false, restart,
+                       "HTTP/1.1 421 Other\r\nX-Parsleyvane-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"}});
+        rig.exchange(clientRequest("/often/"));
+        CPPUNIT_ASSERT(!upstreams.find(UpstreamId("u"))->reportedDraining);
+    }
+
     void aStreamThatMayNotResumeIsAborted()
     {
         ForwardRig rig;
