Ignore evidence that was gathered under another order

Callers saw (read in the code and in the test, not in a play): a repaired version that is rolled out again under its old name may be rolled back at once.

Cause: reports of other instances were matched by version only. A row from the order before, read again after a lost history or a start, or written by an instance that hasn't read the new order yet, counted for the new one until its instance had evidence again.

Now a report carries the number of its order and counts for this one only. A report without a number counts as before, so that instances of both kinds can run beside each other.

Test: evidenceUnderAnEarlierOrderOfTheSameVersionIsIgnored, red before; reportsRoundTripThroughJson now includes the number.

--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -69,6 +69,8 @@
     std::map<RouteName, RouteAnswers> routes;
     PaceEvidence firstEventEvidence; ///< from the time to the first event
     PaceEvidence latencyEvidence; ///< from the inter-event latency of streams and the duration of other answers
+    /// RolloutOrder::number; empty in the reports of instances that do not send it
+    std::optional<std::uint64_t> order = {};
 
     friend bool operator==(const VersionReport &, const VersionReport &) = default;
 };
@@ -135,7 +137,7 @@
     /// @brief Adds a sample of the time to the first event, which includes queueing at the upstream; otherwise as
     /// onLatency().
     void onTimeToFirstEvent(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
-    /// @brief Replaces the report of another instance; one about another version is ignored.
+    /// @brief Replaces the report of another instance; one about another version or order is ignored.
     void merge(const InstanceId &from, const VersionReport &report);
     /// @brief Evaluates the merged evidence; a version that is found bad stays so. Each route is also tested
     /// separately: a version may fail on one route only, while another route fails with either version. Complexity:
--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -36,11 +36,15 @@
     for (const auto &[route, answers] : version.routes) {
         routes[route.str()] = Json::array({countJson(answers.candidate), countJson(answers.predecessor)});
     }
-    return Json{{"service", version.service.str()},
-                {"version", version.version.str()},
-                {"routes", std::move(routes)},
-                {"start", paceJson(version.firstEventEvidence)},
-                {"pace", paceJson(version.latencyEvidence)}};
+    Json json{{"service", version.service.str()},
+              {"version", version.version.str()},
+              {"routes", std::move(routes)},
+              {"start", paceJson(version.firstEventEvidence)},
+              {"pace", paceJson(version.latencyEvidence)}};
+    if (version.order) {
+        json["order"] = *version.order;
+    }
+    return json;
 }
 
 VersionReport readVersion(const Json &json)
@@ -50,6 +54,9 @@
                           .routes = {},
                           .firstEventEvidence = readPace(json.at("start")),
                           .latencyEvidence = readPace(json.at("pace"))};
+    if (json.contains("order")) {
+        version.order = json.at("order").get<std::uint64_t>();
+    }
     for (const auto &[route, answers] : json.at("routes").items()) {
         version.routes[RouteName(route)] = {readCount(answers.at(0)), readCount(answers.at(1))};
     }
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -223,7 +223,8 @@
 
 void VersionShift::merge(const InstanceId &from, const VersionReport &report)
 {
-    if (this->current && report.version == this->current->to) {
+    const bool isCurrentOrder = this->current && report.order.value_or(this->current->number) == this->current->number;
+    if (isCurrentOrder && report.version == this->current->to) {
         this->otherReports[from] = report;
     }
 }
@@ -349,7 +350,8 @@
             .version = this->current->to,
             .routes = this->ownAnswers,
             .firstEventEvidence = this->firstEventTest.evidence(),
-            .latencyEvidence = this->latencyTest.evidence()};
+            .latencyEvidence = this->latencyTest.evidence(),
+            .order = this->current->number};
 }
 
 } // namespace parsleyvane
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -415,7 +415,8 @@
                                    VersionName("v2"),
                                    {{RouteName("r"), {{7, 2}, {9, 1}}}},
                                    {.allSlow = 2.5, .someSlow = 1.5, .answers = 6},
-                                   {.allSlow = 3, .someSlow = 4, .answers = 7}});
+                                   {.allSlow = 3, .someSlow = 4, .answers = 7},
+                                   9});
         LastReason reason;
         CPPUNIT_ASSERT(parseFleetReport(serialise(report), reason) == report);
     }
--- a/tests/unit-versionshift.cpp
+++ b/tests/unit-versionshift.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(fourBadAnswersOfAColdStartAreNotEnough);
     CPPUNIT_TEST(aGoodVersionIsNotRolledBackForUsualFailures);
     CPPUNIT_TEST(evidenceOfOtherInstancesCounts);
+    CPPUNIT_TEST(evidenceUnderAnEarlierOrderOfTheSameVersionIsIgnored);
     CPPUNIT_TEST(errorsOnOneRouteAreDetectedBesideARouteThatFailsWithBothVersions);
     CPPUNIT_TEST(aVersionTwiceAsSlowIsDetectedWithinTwentyAnswers);
     CPPUNIT_TEST(aVersionWithHalfItsAnswersEightTimesAsSlowIsDetected);
@@ -217,6 +218,22 @@
         CPPUNIT_ASSERT(!unrelated.evaluate(start));
     }
 
+    void evidenceUnderAnEarlierOrderOfTheSameVersionIsIgnored()
+    {
+        VersionShift other = running();
+        for (int answer = 0; answer < 400; ++answer) {
+            other.onAnswer(route, false, true);
+            other.onAnswer(route, true, answer % 2 == 0);
+        }
+        VersionShift shift = running();
+        shift.merge(InstanceId("other"), other.report());
+        CPPUNIT_ASSERT(shift.evaluate(start));
+        shift.onOrder({.service = service, .to = next, .duration = duration, .number = 9});
+        shift.onStatus({.service = service, .to = next, .order = 9}, start);
+        shift.merge(InstanceId("other"), other.report());
+        CPPUNIT_ASSERT(!shift.evaluate(start));
+    }
+
     void errorsOnOneRouteAreDetectedBesideARouteThatFailsWithBothVersions()
     {
         VersionShift shift = running();
