Look at order and evidence again after the wait before a write

Cause: advanceRollout decided what to write, waited up to 400 ms at random, and wrote it. The start wasn't compared with the present order; the completion wasn't compared with the evidence.

Now each step compares the order after its wait, and the end evaluates the evidence once more. The function is split into start and end.

--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -71,6 +71,10 @@
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> publish();
     boost::asio::awaitable<void> advanceRollout(ServiceName service);
+    boost::asio::awaitable<void> startRollout(RolloutOrder order);
+    boost::asio::awaitable<void> endRollout(RolloutOrder order);
+    void evaluateVersion(const RolloutOrder &order);
+    Milliseconds writeDelay();
     boost::asio::awaitable<void> writeStatus(RolloutStatus status);
     void applyOrders(const TableSnapshot &snapshot);
     void replaceUpstreams(const TableSnapshot &snapshot);
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -390,32 +390,62 @@
 
 asio::awaitable<void> FleetSync::advanceRollout(ServiceName service)
 {
-    VersionShift &shift = shiftOf(this->context, service);
+    const VersionShift &shift = shiftOf(this->context, service);
     const RolloutOrder order = *shift.order();
-    RolloutStatus status{.service = service, .to = order.to, .order = order.number};
-    const TimePoint now = bootClockNow();
-    std::uniform_int_distribution<int> jitter(0, 400);
     if (!shift.state()) {
-        // The instance with the shortest random delay writes; the others see its row and need no call.
-        co_await sleepFor(Milliseconds(jitter(this->context.random)));
-        if (!shift.state()) {
-            status.startedAt = bootClockNow().time_since_epoch() + this->storeClockOffset;
-            co_await this->writeStatus(status);
-        }
-    } else if (const auto found = shift.evaluate(now)) {
+        co_await this->startRollout(order);
+    } else {
+        this->evaluateVersion(order);
+    }
+    if (shift.order() == order && shift.state() == RolloutState::Running
+        && (shift.isBad() || shift.mayComplete(bootClockNow()))) {
+        co_await this->endRollout(order);
+    }
+    this->advancingRollouts[service] = false;
+}
+
+void FleetSync::evaluateVersion(const RolloutOrder &order)
+{
+    if (const auto found = shiftOf(this->context, order.service).evaluate(bootClockNow())) {
         this->context.log.line("version_bad",
-                               {{"service", service.str()}, {"version", order.to.str()}, {"evidence", *found}});
+                               {{"service", order.service.str()}, {"version", order.to.str()}, {"evidence", *found}});
+    }
+}
+
+asio::awaitable<void> FleetSync::startRollout(RolloutOrder order)
+{
+    const VersionShift &shift = shiftOf(this->context, order.service);
+    // The instance with the shortest random delay writes; the others see its row and need no call.
+    co_await sleepFor(this->writeDelay());
+    if (shift.order() == order && !shift.state()) {
+        RolloutStatus status{.service = order.service, .to = order.to, .order = order.number};
+        status.startedAt = bootClockNow().time_since_epoch() + this->storeClockOffset;
+        co_await this->writeStatus(std::move(status));
     }
-    if (shift.state() == RolloutState::Running && (shift.isBad() || shift.mayComplete(now))) {
+}
+
+asio::awaitable<void> FleetSync::endRollout(RolloutOrder order)
+{
+    const VersionShift &shift = shiftOf(this->context, order.service);
+    if (!shift.isBad()) {
+        co_await sleepFor(this->writeDelay());
+    }
+    if (shift.order() != order) {
+        co_return;
+    }
+    // Evidence may have arrived during the delay.
+    this->evaluateVersion(order);
+    if (shift.state() == RolloutState::Running) {
+        RolloutStatus status{.service = order.service, .to = order.to, .order = order.number};
         status.state = shift.isBad() ? RolloutState::RolledBack : RolloutState::Completed;
-        if (!shift.isBad()) {
-            co_await sleepFor(Milliseconds(jitter(this->context.random)));
-        }
-        if (shift.state() == RolloutState::Running && shift.order() == order) {
-            co_await this->writeStatus(status);
-        }
+        co_await this->writeStatus(std::move(status));
     }
-    this->advancingRollouts[service] = false;
+}
+
+Milliseconds FleetSync::writeDelay()
+{
+    std::uniform_int_distribution<int> delay(0, 400);
+    return Milliseconds(delay(this->context.random));
 }
 
 asio::awaitable<void> FleetSync::writeStatus(RolloutStatus status)
--- a/tests/unit-net-fleetsync.cpp
+++ b/tests/unit-net-fleetsync.cpp
@@ -36,6 +36,7 @@
     unsigned fullReads = 0;
     unsigned writes = 0;
     unsigned interruptCount = 0;
+    std::function<void(const Transaction &)> onTransact; ///< before a transaction is sent
 
     void put(StoreTable table, const std::string &name, const std::string &value)
     {
@@ -97,6 +98,9 @@
 
     asio::awaitable<TransactionOutcome> transact(Transaction transaction) override
     {
+        if (this->onTransact) {
+            this->onTransact(transaction);
+        }
         co_await this->simulateLatency();
         ++this->writes;
         for (const Transaction::Check &check : transaction.checks) {
@@ -254,6 +258,8 @@
     CPPUNIT_TEST(anOutageInterruptsTheOtherReadsOnce);
     CPPUNIT_TEST(anOrderIsStartedAndCompletedByOneInstance);
     CPPUNIT_TEST(aBadVersionIsRolledBackAtAllInstances);
+    CPPUNIT_TEST(anOrderThatWasReplacedIsNotStarted);
+    CPPUNIT_TEST(lateEvidencePreventsTheCompletion);
     CPPUNIT_TEST(crashesAreReportedToOtherInstances);
     CPPUNIT_TEST_SUITE_END();
 
@@ -362,6 +368,68 @@
         CPPUNIT_ASSERT(rig.runUntil([&]() { return shiftOf(two, service).state() == RolloutState::RolledBack; }));
     }
 
+    /// The value of the status row that a transaction writes; empty when it writes none.
+    static std::string writtenStatus(const Transaction &transaction)
+    {
+        for (const Transaction::Put &put : transaction.puts) {
+            if (put.key == "status/s") {
+                return put.value;
+            }
+        }
+        return {};
+    }
+
+    void anOrderThatWasReplacedIsNotStarted()
+    {
+        FleetRig rig;
+        auto &one = rig.add("one").context;
+        const ServiceName service("s");
+        const auto orderNumber = [&]() {
+            const auto &order = shiftOf(one, service).order();
+            return order ? order->number : 0;
+        };
+        unsigned outdated = 0;
+        rig.platform.onTransact = [&](const Transaction &transaction) {
+            const std::string status = writtenStatus(transaction);
+            outdated += !status.empty() && std::stoul(status.substr(status.find(' '))) != orderNumber() ? 1 : 0;
+        };
+        // The instance waits for a random time before it starts an order.
+        for (const char *version : {"v2", "v3", "v4", "v5", "v6", "v7"}) {
+            rig.platform.put(StoreTable::Orders, "rollout", version);
+            CPPUNIT_ASSERT(
+                rig.runUntil([&]() { return orderNumber() == rig.platform.rows.at("orders/rollout").version; }));
+            rig.io.run_for(std::chrono::milliseconds(40));
+        }
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return shiftOf(one, service).state() == RolloutState::Running; }));
+        CPPUNIT_ASSERT_EQUAL(0U, outdated);
+    }
+
+    void lateEvidencePreventsTheCompletion()
+    {
+        FleetRig rig;
+        auto &one = rig.add("one").context;
+        const ServiceName service("s");
+        VersionShift &shift = shiftOf(one, service);
+        bool isEvidenceKnown = false;
+        bool isCompletedDespiteEvidence = false;
+        rig.platform.onTransact = [&](const Transaction &transaction) {
+            isCompletedDespiteEvidence
+                = isCompletedDespiteEvidence || (isEvidenceKnown && writtenStatus(transaction).starts_with("1 "));
+        };
+        rig.platform.put(StoreTable::Orders, "rollout", "v2");
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return shift.state() == RolloutState::Running; }));
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return shift.mayComplete(bootClockNow()); }));
+        // The instance waits for a random time before it completes a roll-out.
+        rig.io.run_for(std::chrono::milliseconds(30));
+        for (int answer = 0; answer < 100; ++answer) {
+            shift.onAnswer(RouteName("r"), false, true);
+            shift.onAnswer(RouteName("r"), true, false);
+        }
+        isEvidenceKnown = true;
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return shift.state() != RolloutState::Running; }));
+        CPPUNIT_ASSERT(!isCompletedDespiteEvidence);
+    }
+
     void crashesAreReportedToOtherInstances()
     {
         FleetRig rig;
