--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -63,6 +63,7 @@
 {
     CPPUNIT_TEST_SUITE(PlatformClientTest);
     CPPUNIT_TEST(readTableCombinesAllPages);
+    CPPUNIT_TEST(aRowThatChangesBetweenPagesIsReadAgain);
     CPPUNIT_TEST(readChangesReturnsWrittenAndRemovedRows);
     CPPUNIT_TEST(statusGoneIsReportedAsLostHistory);
     CPPUNIT_TEST(consecutiveReadsReuseOneConnection);
@@ -92,6 +93,17 @@
         CPPUNIT_ASSERT(rig.store.requests.back().find("from=a%00") != std::string::npos);
     }
 
+    void aRowThatChangesBetweenPagesIsReadAgain()
+    {
+        StoreRig rig(
+            {{response(200, R"({"rows":[)" + rowJson("a", "1", 3) + R"(],"has_more":true,"ver":9,"now_ms":5})"), false},
+             {response(200, R"({"rows":[)" + rowJson("b", "2", 4) + R"(],"has_more":false,"ver":12,"now_ms":6})"),
+              false}});
+        LastReason reason;
+        const auto snapshot = rig.run(rig.client.readTable(StoreTable::Orders, reason));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, snapshot->version);
+    }
+
     void readChangesReturnsWrittenAndRemovedRows()
     {
         StoreRig rig(
