--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(readTableCombinesAllPages);
     CPPUNIT_TEST(aRowThatChangesBetweenPagesIsReadAgain);
     CPPUNIT_TEST(readChangesReturnsWrittenAndRemovedRows);
+    CPPUNIT_TEST(onlyTheLastChangeOfARowIsReturned);
     CPPUNIT_TEST(statusGoneIsReportedAsLostHistory);
     CPPUNIT_TEST(consecutiveReadsReuseOneConnection);
     CPPUNIT_TEST(rejectedReadIsAFailure);
@@ -104,6 +105,21 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, snapshot->version);
     }
 
+    void onlyTheLastChangeOfARowIsReturned()
+    {
+        const std::string removedA = R"({"table":"op","part":"","key":"a","ver":4,"removed":true})";
+        const std::string removedB = R"({"table":"op","part":"","key":"b","ver":6,"removed":true})";
+        const std::string rows
+            = removedA + "," + rowJson("a", "new", 5) + "," + rowJson("b", "old", 5) + "," + removedB;
+        StoreRig rig({{response(200, R"({"rows":[)" + rows + R"(],"ver":9,"now_ms":5})")}});
+        const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100)));
+        const auto &snapshot = std::get<TableSnapshot>(outcome);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, snapshot.rows.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("op/a"), snapshot.rows.front().key);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, snapshot.removed.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("op/b"), snapshot.removed.front());
+    }
+
     void readChangesReturnsWrittenAndRemovedRows()
     {
         StoreRig rig(
