Apply new size limits to idle connections

Now it gets them when the request begins.

Open: a wait under way keeps its own idle timeout when that is changed.

Test: anIdleConnectionFollowsNewLimits, red before (413).

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -309,9 +309,6 @@
 
 asio::awaitable<bool> HttpServer::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(this->limits.headBytes);
-    parser.body_limit(this->limits.bodyBytes);
     boost::system::error_code error;
     if (buffer.size() == 0) {
         stream.expires_after(this->limits.idleTimeout);
@@ -322,6 +319,10 @@
         this->idleStreams.erase(&stream);
         buffer.commit(bytesRead);
     }
+    // The limits may have changed while the connection was idle.
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(this->limits.headBytes);
+    parser.body_limit(this->limits.bodyBytes);
     stream.expires_after(this->limits.requestTimeout);
     if (!error) {
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile);
     CPPUNIT_TEST(aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile);
     CPPUNIT_TEST(aRefusalByTheReplacedProcessDoesNotConcernTheNewOne);
+    CPPUNIT_TEST(anIdleConnectionFollowsNewLimits);
     CPPUNIT_TEST(aStreamThatMayNotResumeIsAborted);
     CPPUNIT_TEST(aStreamWithAMissingEventIsAborted);
     CPPUNIT_TEST(aRequestToASilentUpstreamIsRetriedInTime);
@@ -473,6 +474,23 @@
         CPPUNIT_ASSERT(!upstreams.find(UpstreamId("u"))->reportedDraining);
     }
 
+    void anIdleConnectionFollowsNewLimits()
+    {
+        ForwardRig rig;
+        rig.route("often", Repeatability::Always);
+        rig.upstream("u", {{upstreamAnswer(200, "whole")}});
+        rig.server.setLimits({.bodyBytes = 1});
+        boost::asio::ip::tcp::socket client(rig.io);
+        client.connect(rig.endpoint);
+        rig.runFor(Milliseconds(50));
+        rig.server.setLimits({.bodyBytes = 100});
+        boost::asio::write(client, boost::asio::buffer(clientRequest("/often/")));
+        rig.runFor(Milliseconds(200));
+        std::array<char, 4096> space{};
+        const std::size_t count = client.read_some(boost::asio::buffer(space));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(std::string(space.data(), count)));
+    }
+
     void aStreamThatMayNotResumeIsAborted()
     {
         ForwardRig rig;
