Attribute a poor answer's latency to the model that gave it

Cause: when a poor answer is dropped, the request's model is set to the larger one before the attempt is recorded. The smaller model's time to the first event became a sample of the larger one, whose baseline so mixes both.

Now the kind of work is kept from the start of the attempt.

Test: aPoorAnswerIsEvidenceAboutItsOwnModel, red before (no evidence, one answer expected).

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -129,6 +129,7 @@
     bool usesCandidate = false; ///< the latest attempt targets the version that is being rolled out
     RolloutPhase rollout; ///< under which the latest attempt's upstream was chosen
     VersionName version; ///< software version of the latest attempt's upstream
+    std::string workKind; ///< route and model of the latest attempt; only latencies of the same kind are compared
     std::set<UpstreamId> sentTo;
     unsigned possibleRuns = 0; ///< attempts that may have run the request
     unsigned dispatches = 0; ///< attempts that began to send the request
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -97,6 +97,7 @@
     this->usesCandidate = chosen->usesCandidate;
     this->version = chosen->entry.version;
     this->rollout = chosen->rollout;
+    this->workKind = this->route().name.str() + "/" + std::to_string(this->sizeIndex);
     const UpstreamEntry &target = chosen->entry;
     LastReason reason;
     const auto endpoint = parseEndpoint(target.address, reason);
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -70,8 +70,7 @@
 void ForwardedRequest::recordTimeToFirstEvent(TimePoint now)
 {
     VersionShift &shift = shiftOf(this->context, this->service());
-    const std::string kind = this->route().name.str() + "/" + std::to_string(this->sizeIndex);
-    shift.onTimeToFirstEvent(shift.isCandidate(this->version), kind, now - this->sentAt, this->sentAt);
+    shift.onTimeToFirstEvent(shift.isCandidate(this->version), this->workKind, now - this->sentAt, this->sentAt);
     this->announceEvidence(shift);
 }
 
@@ -86,10 +85,9 @@
     // The time of ten events, since one inter-event latency is only a few ms.
     constexpr std::int64_t referenceIntervals = 10;
     const auto intervals = static_cast<std::int64_t>(this->events - 1);
-    const std::string kind = this->route().name.str() + "/" + std::to_string(this->sizeIndex);
     this->isEventLatencyRecorded = true;
     const Milliseconds latency = (bootClockNow() - this->firstEventAt) * referenceIntervals / intervals;
-    shift.onLatency(shift.isCandidate(this->version), kind, latency, this->sentAt);
+    shift.onLatency(shift.isCandidate(this->version), this->workKind, latency, this->sentAt);
     this->announceEvidence(shift);
 }
 
@@ -104,7 +102,6 @@
 {
     VersionShift &shift = shiftOf(this->context, this->service());
     const TimePoint now = bootClockNow();
-    const std::string kind = this->route().name.str() + "/" + std::to_string(this->sizeIndex);
     const bool isFirstEventLate = result == AttemptResult::Silent && this->events == 0;
     if (this->route().streams && (isFirstEventLate || result == AttemptResult::PoorAnswer)) {
         // For a silent upstream the elapsed time is a lower bound of its time to first event.
@@ -119,7 +116,7 @@
         // A request that may run only once is answered with whatever came, including a server error.
         shift.onAnswer(this->route().name, isCandidate, !this->upstreamFailed);
         if (!this->route().streams && !this->upstreamFailed) {
-            shift.onLatency(isCandidate, kind, now - this->sentAt, this->sentAt);
+            shift.onLatency(isCandidate, this->workKind, now - this->sentAt, this->sentAt);
         }
     } else {
         return;
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenNoUpstreamIsLeft);
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile);
     CPPUNIT_TEST(aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile);
+    CPPUNIT_TEST(aPoorAnswerIsEvidenceAboutItsOwnModel);
     CPPUNIT_TEST(aRefusalByTheReplacedProcessDoesNotConcernTheNewOne);
     CPPUNIT_TEST(anIdleConnectionFollowsNewLimits);
     CPPUNIT_TEST(aStreamThatMayNotResumeIsAborted);
@@ -456,6 +457,22 @@
         CPPUNIT_ASSERT(rig.exchange(clientRequest("/stream/")).ends_with("0\r\n\r\n"));
     }
 
+    void aPoorAnswerIsEvidenceAboutItsOwnModel()
+    {
+        ForwardRig rig;
+        routeWithSizes(rig);
+        VersionShift &shift = rig.rollOut();
+        shift.setLimits({.maxExposedShare = 1});
+        for (int answer = 0; answer < 20; ++answer) {
+            shift.onTimeToFirstEvent(false, "sized/0", Milliseconds(4), bootClockNow());
+        }
+        const std::string wholeAnswer
+            = streamHead("r-1", "X-Parsleyvane-Confidence: 100\r\n") + chunkedEvent(1) + "0\r\n\r\n";
+        rig.upstream("u", {{poorAnswer()}, {wholeAnswer}}, "v2");
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/sized/"))));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, shift.report().firstEventEvidence.answers);
+    }
+
     void aRefusalByTheReplacedProcessDoesNotConcernTheNewOne()
     {
         ForwardRig rig;
