--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -68,7 +68,9 @@
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenNoUpstreamIsLeft);
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile);
     CPPUNIT_TEST(aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile);
+    CPPUNIT_TEST(aPoorAnswerIsEvidenceAboutItsOwnModel);
     CPPUNIT_TEST(aRefusalByTheReplacedProcessDoesNotConcernTheNewOne);
+    CPPUNIT_TEST(anIdleConnectionFollowsNewLimits);
     CPPUNIT_TEST(aStreamThatMayNotResumeIsAborted);
     CPPUNIT_TEST(aStreamWithAMissingEventIsAborted);
     CPPUNIT_TEST(aRequestToASilentUpstreamIsRetriedInTime);
@@ -455,6 +457,22 @@
         CPPUNIT_ASSERT(rig.exchange(clientRequest("/stream/")).ends_with("0\r\n\r\n"));
     }
 
+    void aPoorAnswerIsEvidenceAboutItsOwnModel()
+    {
+        ForwardRig rig;
+        routeWithSizes(rig);
+        VersionShift &shift = rig.rollOut();
+        shift.setLimits({.maxExposedShare = 1});
+        for (int answer = 0; answer < 20; ++answer) {
+            shift.onTimeToFirstEvent(false, "sized/0", Milliseconds(4), bootClockNow());
+        }
+        const std::string wholeAnswer
+            = streamHead("r-1", "X-Parsleyvane-Confidence: 100\r\n") + chunkedEvent(1) + "0\r\n\r\n";
+        rig.upstream("u", {{poorAnswer()}, {wholeAnswer}}, "v2");
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/sized/"))));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, shift.report().firstEventEvidence.answers);
+    }
+
     void aRefusalByTheReplacedProcessDoesNotConcernTheNewOne()
     {
         ForwardRig rig;
@@ -473,6 +491,23 @@
         CPPUNIT_ASSERT(!upstreams.find(UpstreamId("u"))->reportedDraining);
     }
 
+    void anIdleConnectionFollowsNewLimits()
+    {
+        ForwardRig rig;
+        rig.route("often", Repeatability::Always);
+        rig.upstream("u", {{upstreamAnswer(200, "whole")}});
+        rig.server.setLimits({.bodyBytes = 1});
+        boost::asio::ip::tcp::socket client(rig.io);
+        client.connect(rig.endpoint);
+        rig.runFor(Milliseconds(50));
+        rig.server.setLimits({.bodyBytes = 100});
+        boost::asio::write(client, boost::asio::buffer(clientRequest("/often/")));
+        rig.runFor(Milliseconds(200));
+        std::array<char, 4096> space{};
+        const std::size_t count = client.read_some(boost::asio::buffer(space));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(std::string(space.data(), count)));
+    }
+
     void aStreamThatMayNotResumeIsAborted()
     {
         ForwardRig rig;
--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -63,7 +63,9 @@
 {
     CPPUNIT_TEST_SUITE(PlatformClientTest);
     CPPUNIT_TEST(readTableCombinesAllPages);
+    CPPUNIT_TEST(aRowThatChangesBetweenPagesIsReadAgain);
     CPPUNIT_TEST(readChangesReturnsWrittenAndRemovedRows);
+    CPPUNIT_TEST(onlyTheLastChangeOfARowIsReturned);
     CPPUNIT_TEST(statusGoneIsReportedAsLostHistory);
     CPPUNIT_TEST(consecutiveReadsReuseOneConnection);
     CPPUNIT_TEST(rejectedReadIsAFailure);
@@ -92,6 +94,32 @@
         CPPUNIT_ASSERT(rig.store.requests.back().find("from=a%00") != std::string::npos);
     }
 
+    void aRowThatChangesBetweenPagesIsReadAgain()
+    {
+        StoreRig rig(
+            {{response(200, R"({"rows":[)" + rowJson("a", "1", 3) + R"(],"has_more":true,"ver":9,"now_ms":5})"), false},
+             {response(200, R"({"rows":[)" + rowJson("b", "2", 4) + R"(],"has_more":false,"ver":12,"now_ms":6})"),
+              false}});
+        LastReason reason;
+        const auto snapshot = rig.run(rig.client.readTable(StoreTable::Orders, reason));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, snapshot->version);
+    }
+
+    void onlyTheLastChangeOfARowIsReturned()
+    {
+        const std::string removedA = R"({"table":"op","part":"","key":"a","ver":4,"removed":true})";
+        const std::string removedB = R"({"table":"op","part":"","key":"b","ver":6,"removed":true})";
+        const std::string rows
+            = removedA + "," + rowJson("a", "new", 5) + "," + rowJson("b", "old", 5) + "," + removedB;
+        StoreRig rig({{response(200, R"({"rows":[)" + rows + R"(],"ver":9,"now_ms":5})")}});
+        const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100)));
+        const auto &snapshot = std::get<TableSnapshot>(outcome);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, snapshot.rows.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("op/a"), snapshot.rows.front().key);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, snapshot.removed.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("op/b"), snapshot.removed.front());
+    }
+
     void readChangesReturnsWrittenAndRemovedRows()
     {
         StoreRig rig(
