Bound an attempt by one deadline, however many bytes arrive

Callers saw: no answer by their deadline, or never, when an upstream kept sending a few bytes: of a body, of an event without end, of the answer to another request; comments and events that had been relayed before likewise held a stream at one upstream although another one could have resumed it.

Cause: each read renewed the time limit of an attempt, and only between two events was the request's deadline checked.

Change: HttpCall::setTotalLimit sets one limit for all sends and reads that follow. An attempt has it from its send; on a stream it is renewed after the head and by each event with a new id, and by nothing else. It is never later than the request's deadline. When it expires, the present rules decide: the wait is extended while no other upstream can take over.

An event without an id is relayed as before but is no progress; the platform promises ids.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -85,6 +85,9 @@
     boost::asio::awaitable<std::optional<std::string>> readSome(LastReason &reason);
     /// @brief Sets the time limit for later sends and reads.
     void setProgressLimit(Milliseconds limit) noexcept;
+    /// @brief Sets one time limit for all later sends and reads together, however many bytes arrive; also sets the
+    /// progress limit.
+    void setTotalLimit(Milliseconds limit) noexcept;
     /// @brief Sets a handler that is called when a time limit expires; an empty one removes it.
     ///
     /// The handler returns by how much the limit is extended. With 0, or without a handler, the connection is closed.
@@ -140,6 +143,7 @@
     boost::asio::steady_timer watchdog;
     boost::asio::steady_timer::time_point deadline;
     std::chrono::steady_clock::time_point armedDeadline;
+    std::chrono::steady_clock::time_point totalDeadline = std::chrono::steady_clock::time_point::max();
     std::function<Milliseconds()> timeoutHandler;
     bool isWatchdogActive = false;
     bool expired = false;
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -163,7 +163,7 @@
     // The request may run as soon as its first byte is sent; only a refusal by the upstream restores the state before.
     const RunState before = this->combinedRunState;
     this->combinedRunState = combine(this->combinedRunState, RunState::Unknown);
-    connection.setProgressLimit(this->answerTimeout());
+    connection.setTotalLimit(this->answerTimeout());
     if (!co_await connection.send(request, reason)) {
         co_return this->failureResult(reason);
     }
@@ -260,8 +260,9 @@
 {
     LastReason reason;
     EventSplitter splitter;
+    connection.setTotalLimit(this->answerTimeout());
     while (true) {
-        connection.setProgressLimit(this->events > 0 ? this->eventTimeout() : this->answerTimeout());
+        const auto previousEvent = this->lastEvent;
         auto piece = co_await connection.readSome(reason);
         if (!piece) {
             co_return this->failureResult(reason);
@@ -273,6 +274,10 @@
         if (const auto ended = co_await this->forwardEvents(connection, splitter)) {
             co_return *ended;
         }
+        if (this->lastEvent != previousEvent) {
+            // Only a new event extends the wait: comments, repeated events and parts of events may arrive without end.
+            connection.setTotalLimit(this->eventTimeout());
+        }
         if (this->remainingTime() <= Milliseconds(0)) {
             co_return AttemptResult::Silent;
         }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "parsleyvane/net/httpclient.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -35,7 +36,7 @@
 
 void HttpCall::setDeadline(Milliseconds limit)
 {
-    this->deadline = std::chrono::steady_clock::now() + limit;
+    this->deadline = std::min(std::chrono::steady_clock::now() + limit, this->totalDeadline);
     if (!this->isWatchdogActive || this->deadline < this->armedDeadline) {
         this->armWatchdog();
     }
@@ -58,6 +59,7 @@
         const Milliseconds extension = this->timeoutHandler ? this->timeoutHandler() : Milliseconds(0);
         if (extension.count() > 0) {
             this->deadline += extension;
+            this->totalDeadline = std::max(this->totalDeadline, this->deadline);
             this->armWatchdog();
             return;
         }
@@ -104,6 +106,12 @@
     this->limits.progress = limit;
 }
 
+void HttpCall::setTotalLimit(Milliseconds limit) noexcept
+{
+    this->limits.progress = limit;
+    this->totalDeadline = std::chrono::steady_clock::now() + limit;
+}
+
 void HttpCall::onTimeout(std::function<Milliseconds()> handler)
 {
     this->timeoutHandler = std::move(handler);
--- a/tests/scriptedupstream.h
+++ b/tests/scriptedupstream.h
@@ -24,6 +24,8 @@
     std::function<void()> onSent; ///< called after the answer and the pause, in which the client reads the answer
     std::string rest; ///< sent after the pause
     std::chrono::milliseconds pause{20};
+    std::function<std::string(unsigned)> nextPiece; ///< called for pieces that are sent until the client closes
+    std::chrono::milliseconds pieceInterval{0};
 };
 
 /// @brief An upstream that sends its scripted answers in order and repeats the last one.
@@ -47,6 +49,8 @@
     std::vector<std::string> requests; ///< in order of arrival
     unsigned connections = 0;
     unsigned closedByClient = 0; ///< connections that the client closed or used again while the upstream stayed silent
+    unsigned endlessOpen = 0; ///< connections on which pieces without end are being sent
+    std::size_t endlessBytes = 0; ///< bytes of such pieces that were sent
 
 private:
     static asio::awaitable<void> accept(ScriptedUpstream *self)
@@ -104,6 +108,12 @@
                 const auto rest = asio::buffer(response.rest);
                 co_await asio::async_write(socket, rest, asio::redirect_error(asio::use_awaitable, error));
             }
+            if (response.nextPiece) {
+                ++self->endlessOpen;
+                co_await ScriptedUpstream::sendPieces(self, &socket, &response);
+                --self->endlessOpen;
+                co_return;
+            }
             if (response.staysSilent) {
                 co_await socket.async_read_some(asio::buffer(space), asio::redirect_error(asio::use_awaitable, error));
                 ++self->closedByClient;
@@ -115,6 +125,29 @@
         }
     }
 
+    /// Sends pieces until the client closes the connection; after maxEndlessBytes, only waits for that.
+    static asio::awaitable<void> sendPieces(ScriptedUpstream *self, asio::ip::tcp::socket *socket,
+                                            const ScriptedResponse *response)
+    {
+        boost::system::error_code error;
+        std::size_t sent = 0;
+        for (unsigned number = 0; !error && sent < maxEndlessBytes; ++number) {
+            const std::string piece = response->nextPiece(number);
+            const auto bytes = asio::buffer(piece);
+            const auto count
+                = co_await asio::async_write(*socket, bytes, asio::redirect_error(asio::use_awaitable, error));
+            sent += count;
+            self->endlessBytes += count;
+            asio::steady_timer pause(socket->get_executor(), response->pieceInterval);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        std::array<char, 4096> space{};
+        while (!error) {
+            co_await socket->async_read_some(asio::buffer(space), asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+
+    static constexpr std::size_t maxEndlessBytes = 64U << 20U; ///< protects the machine from a client without bounds
     asio::ip::tcp::acceptor acceptor;
 };
 
