Bound the bytes of an answer that are held unparsed

Callers saw: nothing at once; the process held what an upstream sent as a chunk extension or as trailers without end, until the deadline of the request. A machine has 160 MB, and a process beyond it is killed with all its requests.

Cause: Beast bounds heads and bodies, but holds a chunk's extension and the trailers until their end is found; the buffer of HttpCall had no limit.

Change: the buffer holds 64 KiB at most, one read of Beast and several times its limit of a head. More is bad data, so a repeatable request goes to another upstream at once and one that may have run gets 502.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 16384;
+/// Bytes held before they are parsed. Chunk extensions and trailers are parsed whole, so this is their limit too.
+constexpr std::size_t maxUnparsedBytes = 65536;
 
 } // namespace
 
@@ -24,6 +26,7 @@
     , endpoint(std::move(endpoint))
     , limits(limits)
     , socket(executor)
+    , buffer(maxUnparsedBytes)
     , watchdog(executor)
     , readBuffer(readBufferBytes)
 {
--- a/tests/unit-net-forward-endless.cpp
+++ b/tests/unit-net-forward-endless.cpp
@@ -193,6 +193,8 @@
     CPPUNIT_TEST(interimAnswersWithoutEndAreNotRelayed);
     CPPUNIT_TEST(aBodyWithAHugeLengthIsNotRelayed);
     CPPUNIT_TEST(aTricklingBodyIsAbandonedAtTheDeadline);
+    CPPUNIT_TEST(aChunkExtensionWithoutEndIsNotBuffered);
+    CPPUNIT_TEST(trailersWithoutEndAreNotBuffered);
     CPPUNIT_TEST(aRefusalWithABodyWithoutEndIsNotRelayed);
     CPPUNIT_TEST(aTricklingEventIsAbandonedInTime);
     CPPUNIT_TEST(commentsWithoutEndAreNotProgress);
@@ -243,6 +245,18 @@
                        maxAnswerBytes);
     }
 
+    void aChunkExtensionWithoutEndIsNotBuffered()
+    {
+        expectNoAnswer(fastResponse(chunkedHead + "1;", "x"), maxAnswerBytes);
+        expectNoAnswer(slowResponse(chunkedHead + "1;", "x"), maxAnswerBytes);
+    }
+
+    void trailersWithoutEndAreNotBuffered()
+    {
+        expectNoAnswer(fastResponse(chunkedHead + "0\r\n", "X-More: 1\r\n"), maxAnswerBytes);
+        expectNoAnswer(slowResponse(chunkedHead + "0\r\n", "X-More: 1\r\n"), maxAnswerBytes);
+    }
+
     void aRefusalWithABodyWithoutEndIsNotRelayed()
     {
         EndlessRig rig(fastResponse("HTTP/1.1 503 Full\r\nX-Parsleyvane-Not-Executed: 1\r\n\r\n", "x"));
