Skip interim answers instead of taking them for the answer

Callers saw: "HTTP/1.1 102" with the server's signature as their final answer, though the request may still run; and 503, which promises that it has not run, after an interim answer that named the request not run.

Cause: readAnswer took any head for the final one.

Change: a 1xx head is skipped, and counts with the late answers of other requests: after three heads that are not the answer the bytes are bad data. An answer that follows an interim one is relayed.

Evidence: aSignedInterimAnswerIsNotRelayedAsFinal, anInterimAnswerDoesNotPromiseNotRun and theAnswerAfterAnInterimOneIsRelayed fail without the change and pass with it (unit-net-forward-endless).

--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -20,7 +20,7 @@
 constexpr Milliseconds connectLimit{400};
 /// An upstream that acknowledges no bytes for this long is unreachable.
 constexpr Milliseconds unacknowledgedLimit{1000};
-/// Late answers to earlier requests that are skipped before this request's own.
+/// Late answers to earlier requests, and interim (1xx) answers, that are skipped before this request's own.
 constexpr unsigned maxForeignAnswers = 2;
 /// Fraction of the objective to wait for the first event before a retry on another upstream.
 constexpr double firstEventFactor = 0.75;
@@ -183,6 +183,10 @@
         if (!status) {
             co_return this->failureResult(reason);
         }
+        if (*status < statusOk) {
+            this->attemptLog.append(" interim_answer");
+            continue;
+        }
         const AnswerHead answer = this->context.platform.readAnswer(connection.head());
         if (!answer.requestId.empty() && answer.requestId != this->facts.id.str()) {
             // An answer to an earlier request on this connection: it is read to its end and discarded.
--- a/tests/unit-net-forward-endless.cpp
+++ b/tests/unit-net-forward-endless.cpp
@@ -191,6 +191,9 @@
     CPPUNIT_TEST(garbageInsteadOfAHeadIsNotRelayed);
     CPPUNIT_TEST(aHeadWithoutEndIsNotRelayed);
     CPPUNIT_TEST(interimAnswersWithoutEndAreNotRelayed);
+    CPPUNIT_TEST(aSignedInterimAnswerIsNotRelayedAsFinal);
+    CPPUNIT_TEST(anInterimAnswerDoesNotPromiseNotRun);
+    CPPUNIT_TEST(theAnswerAfterAnInterimOneIsRelayed);
     CPPUNIT_TEST(aBodyWithAHugeLengthIsNotRelayed);
     CPPUNIT_TEST(aTricklingBodyIsAbandonedAtTheDeadline);
     CPPUNIT_TEST(aChunkExtensionWithoutEndIsNotBuffered);
@@ -229,6 +232,28 @@
         expectNoAnswer(slowResponse("", "HTTP/1.1 103 Early Hints\r\n\r\n"), maxHeadBytes);
     }
 
+    void aSignedInterimAnswerIsNotRelayedAsFinal()
+    {
+        const std::string interim = "HTTP/1.1 102 Any\r\nX-Parsleyvane-Attempt-Id: r-1\r\n"
+                                    "X-Parsleyvane-Server-Signature: sig\r\n\r\n";
+        expectNoAnswer(fastResponse("", interim), maxHeadBytes);
+    }
+
+    void anInterimAnswerDoesNotPromiseNotRun()
+    {
+        expectNoAnswer(fastResponse("", "HTTP/1.1 100 Any\r\nX-Parsleyvane-Not-Executed: 1\r\n\r\n"), maxHeadBytes);
+    }
+
+    void theAnswerAfterAnInterimOneIsRelayed()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        rig.upstream("u", {{"HTTP/1.1 103 Early Hints\r\nX-Any: 1\r\n\r\n" + wholeAnswer}});
+        const std::string answer = rig.exchange(clientRequest("/once/"));
+        CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT(answer.ends_with("whole"));
+    }
+
     void aBodyWithAHugeLengthIsNotRelayed()
     {
         const std::string head = signedHead + "Content-Length: 1099511627776\r\n\r\n";
