--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -20,7 +20,7 @@
 constexpr Milliseconds connectLimit{400};
 /// An upstream that acknowledges no bytes for this long is unreachable.
 constexpr Milliseconds unacknowledgedLimit{1000};
-/// Late answers to earlier requests that are skipped before this request's own.
+/// Late answers to earlier requests, and interim (1xx) answers, that are skipped before this request's own.
 constexpr unsigned maxForeignAnswers = 2;
 /// Fraction of the objective to wait for the first event before a retry on another upstream.
 constexpr double firstEventFactor = 0.75;
@@ -167,7 +167,7 @@
     // The request may run as soon as its first byte is sent; only a refusal by the upstream restores the state before.
     const RunState before = this->combinedRunState;
     this->combinedRunState = combine(this->combinedRunState, RunState::Unknown);
-    connection.setProgressLimit(this->answerTimeout());
+    connection.setTotalLimit(this->answerTimeout());
     if (!co_await connection.send(request, reason)) {
         co_return this->failureResult(reason);
     }
@@ -187,6 +187,10 @@
         if (!status) {
             co_return this->failureResult(reason);
         }
+        if (*status < statusOk) {
+            this->attemptLog.append(" interim_answer");
+            continue;
+        }
         const AnswerHead answer = this->context.platform.readAnswer(connection.head());
         if (!answer.requestId.empty() && answer.requestId != this->facts.id.str()) {
             // An answer to an earlier request on this connection: it is read to its end and discarded.
@@ -264,8 +268,9 @@
 {
     LastReason reason;
     EventSplitter splitter;
+    connection.setTotalLimit(this->answerTimeout());
     while (true) {
-        connection.setProgressLimit(this->events > 0 ? this->eventTimeout() : this->answerTimeout());
+        const auto previousEvent = this->lastEvent;
         auto piece = co_await connection.readSome(reason);
         if (!piece) {
             co_return this->failureResult(reason);
@@ -277,6 +282,10 @@
         if (const auto ended = co_await this->forwardEvents(connection, splitter)) {
             co_return *ended;
         }
+        if (this->lastEvent != previousEvent) {
+            // Only a new event extends the wait: comments, repeated events and parts of events may arrive without end.
+            connection.setTotalLimit(this->eventTimeout());
+        }
         if (this->remainingTime() <= Milliseconds(0)) {
             co_return AttemptResult::Silent;
         }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "parsleyvane/net/httpclient.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr std::size_t readBufferBytes = 16384;
+/// Bytes held before they are parsed. Chunk extensions and trailers are parsed whole, so this is their limit too.
+constexpr std::size_t maxUnparsedBytes = 65536;
 
 } // namespace
 
@@ -23,6 +26,7 @@
     , endpoint(std::move(endpoint))
     , limits(limits)
     , socket(executor)
+    , buffer(maxUnparsedBytes)
     , watchdog(executor)
     , readBuffer(readBufferBytes)
 {
@@ -35,7 +39,7 @@
 
 void HttpCall::setDeadline(Milliseconds limit)
 {
-    this->deadline = std::chrono::steady_clock::now() + limit;
+    this->deadline = std::min(std::chrono::steady_clock::now() + limit, this->totalDeadline);
     if (!this->isWatchdogActive || this->deadline < this->armedDeadline) {
         this->armWatchdog();
     }
@@ -58,6 +62,7 @@
         const Milliseconds extension = this->timeoutHandler ? this->timeoutHandler() : Milliseconds(0);
         if (extension.count() > 0) {
             this->deadline += extension;
+            this->totalDeadline = std::max(this->totalDeadline, this->deadline);
             this->armWatchdog();
             return;
         }
@@ -104,6 +109,12 @@
     this->limits.progress = limit;
 }
 
+void HttpCall::setTotalLimit(Milliseconds limit) noexcept
+{
+    this->limits.progress = limit;
+    this->totalDeadline = std::chrono::steady_clock::now() + limit;
+}
+
 void HttpCall::onTimeout(std::function<Milliseconds()> handler)
 {
     this->timeoutHandler = std::move(handler);
