Bound the bytes of one event

Callers saw: nothing at once; the process held an event without end until the deadline, up to 16 MiB for each stream, and searched all of it for its end with each read. A machine has 160 MB.

Cause: EventSplitter buffers until the event's end, without a bound.

Change: an incomplete event of more than 64 KiB is bad data: a stream that may be resumed goes on at another upstream, any other one is broken off. An event of the platform holds a few tokens; its pages state no limit.

Evidence: anEventWithoutEndIsNotBuffered fails without the change (the upstream could send 2,415,916 bytes until the time limit, bound 589,824 with the socket's buffers) and passes with it (unit-net-forward-endless). The scripted upstream now limits its send buffer; otherwise the kernel takes megabytes that nobody has read.

--- a/include/parsleyvane/ingress/eventsplitter.h
+++ b/include/parsleyvane/ingress/eventsplitter.h
@@ -43,6 +43,14 @@
     {
         return this->buffer.size() - this->begin;
     }
+    /// @brief Whether the bytes of an incomplete event exceed the limit, so that no more may be fed.
+    bool isEventTooLong() const noexcept
+    {
+        return this->pending() > maxEventBytes;
+    }
+
+    /// @brief Many times an event of several tokens.
+    static constexpr std::size_t maxEventBytes = 64U << 10U;
 
 private:
     std::string buffer;
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -278,6 +278,9 @@
         if (const auto ended = co_await this->forwardEvents(connection, splitter)) {
             co_return *ended;
         }
+        if (splitter.isEventTooLong()) {
+            co_return AttemptResult::BadData;
+        }
         if (this->lastEvent != previousEvent) {
             // Only a new event extends the wait: comments, repeated events and parts of events may arrive without end.
             connection.setTotalLimit(this->eventTimeout());
--- a/tests/scriptedupstream.h
+++ b/tests/scriptedupstream.h
@@ -109,6 +109,8 @@
                 co_await asio::async_write(socket, rest, asio::redirect_error(asio::use_awaitable, error));
             }
             if (response.nextPiece) {
+                // Otherwise the kernel takes megabytes that the client has not read.
+                socket.set_option(asio::socket_base::send_buffer_size(maxUnreadBytes));
                 ++self->endlessOpen;
                 co_await ScriptedUpstream::sendPieces(self, &socket, &response);
                 --self->endlessOpen;
@@ -147,6 +149,7 @@
         }
     }
 
+    static constexpr int maxUnreadBytes = 65536;
     static constexpr std::size_t maxEndlessBytes = 64U << 20U; ///< protects the machine from a client without bounds
     asio::ip::tcp::acceptor acceptor;
 };
--- a/tests/unit-net-forward-endless.cpp
+++ b/tests/unit-net-forward-endless.cpp
@@ -113,7 +113,7 @@
 {
     rig.runFor(closeTime);
     CPPUNIT_ASSERT_EQUAL(0U, upstream.endlessOpen);
-    CPPUNIT_ASSERT(upstream.endlessBytes <= maxBytes + socketBufferBytes);
+    CPPUNIT_ASSERT_LESSEQUAL(maxBytes + socketBufferBytes, upstream.endlessBytes);
 }
 
 /// Routes of all kinds, an upstream that sends without end, and one that answers, which is chosen after it.
@@ -199,6 +199,7 @@
     CPPUNIT_TEST(aChunkExtensionWithoutEndIsNotBuffered);
     CPPUNIT_TEST(trailersWithoutEndAreNotBuffered);
     CPPUNIT_TEST(aRefusalWithABodyWithoutEndIsNotRelayed);
+    CPPUNIT_TEST(anEventWithoutEndIsNotBuffered);
     CPPUNIT_TEST(aTricklingEventIsAbandonedInTime);
     CPPUNIT_TEST(commentsWithoutEndAreNotProgress);
     CPPUNIT_TEST(eventsThatWereRelayedBeforeAreNotProgress);
@@ -292,6 +293,16 @@
         expectClosed(rig, *rig.endless, maxHeadBytes);
     }
 
+    void anEventWithoutEndIsNotBuffered()
+    {
+        const std::string begin = streamHead() + chunkedEvent(1);
+        const std::string long4Ki(4096, 'x');
+        expectResumed(fastResponse(begin, chunk("data: " + long4Ki + "\n")), maxEventBytes);
+        expectBrokenOff(fastResponse(begin, chunk("data: " + long4Ki + "\n")), maxEventBytes);
+        expectResumed(fastResponse(begin, chunk(": " + long4Ki + "\n")), maxEventBytes);
+        expectResumed(fastResponse(streamHead(), chunk(long4Ki)), maxEventBytes);
+    }
+
     void aTricklingEventIsAbandonedInTime()
     {
         const std::string begin = streamHead() + chunkedEvent(1);
