Hand a silent attempt over only to an upstream that can take it

- a begun stream was closed with an empty retry budget, and overdrew it;
- the upstream that the decision had found was not the one that the next attempt chose: the silent one could be asked again;
- an upstream that had just failed counted as another one;
- a new process under the silent one's id did not;
- the time limit ran on while a slow client read the answer, so a sound upstream was called silent, and a retry was charged.

Now the check takes the budget, keeps the upstream that it found for the next attempt, passes over unhealthy ones, and asks for as much time as the route's objective. HttpCall's limit is in force only while it connects, sends or reads.

Also: an attempt that sent nothing showed the events of the one before in its line. Still open: another upstream that is listed and healthy but refuses or can't be reached takes the request and loses the answer.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -80,8 +80,8 @@
     bool mayRetry(AttemptResult result, std::string &why);
     void stop(std::string_view why);
     bool payForRetry();
-    Milliseconds extendWait(const UpstreamId &silent);
-    std::optional<Target> chooseTarget(const UpstreamId &excluded) const;
+    Milliseconds waitOrHandOver(const UpstreamEntry &silent);
+    std::optional<Target> chooseTarget(UpstreamRequirements requirements) const;
     boost::asio::awaitable<AttemptResult> attempt();
     boost::asio::awaitable<AttemptResult> attemptAt(const UpstreamEntry &target, HttpCall &connection);
     boost::asio::awaitable<AttemptResult> readAnswer(const UpstreamEntry &target, HttpCall &connection);
@@ -147,7 +147,7 @@
     HttpCall *call = nullptr; ///< the connection in use
     bool upstreamFailed = false; ///< this attempt's complete answer was a server error
     bool isEventLatencyRecorded = false; ///< the inter-event latency of this attempt was recorded
-    bool isRetryPaid = false; ///< the retry budget was charged when a silent upstream was given up
+    std::optional<Target> nextTarget; ///< takes over from a silent upstream; the retry budget was charged for it
     bool clientDisconnected = false;
     bool isAnswered = false;
     bool isConnectionReusable = false; ///< the answer was read to its end, so the connection may carry another request
--- a/include/parsleyvane/ingress/upstreamchoice.h
+++ b/include/parsleyvane/ingress/upstreamchoice.h
@@ -21,7 +21,9 @@
     ZoneId zone; ///< availability zone of this instance
     /// @brief Upstreams that this request was sent to; they are used again only if no other is available.
     std::set<UpstreamId> tried;
-    UpstreamId excluded; ///< never chosen; empty excludes none
+    /// @brief Never chosen, unless another process has registered under its id.
+    std::optional<UpstreamEntry> excluded;
+    bool onlyHealthy = false; ///< upstreams that failed recently are never chosen
     /// @brief Identifies the prompt prefix that upstreams may have cached; empty when there is none.
     std::string affinity;
     /// @brief Length of that prefix in tokens.
--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -31,6 +31,9 @@
     friend bool operator==(const UpstreamEntry &, const UpstreamEntry &) = default;
 };
 
+/// @brief Whether both entries were written by the same process.
+bool isSameProcess(const UpstreamEntry &a, const UpstreamEntry &b);
+
 /// @brief Result of an attempt, as far as it is evidence for or against the upstream.
 enum class UpstreamOutcome {
     Answered, ///< a complete answer
--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -145,6 +145,7 @@
     std::chrono::steady_clock::time_point armedDeadline;
     std::chrono::steady_clock::time_point totalDeadline = std::chrono::steady_clock::time_point::max();
     std::function<Milliseconds()> timeoutHandler;
+    bool isWaiting = false; ///< a connect, send or read is in progress
     bool isWatchdogActive = false;
     bool expired = false;
     unsigned calls = 0;
--- a/src/core/ingress/upstreamchoice.cpp
+++ b/src/core/ingress/upstreamchoice.cpp
@@ -24,10 +24,13 @@
     std::vector<Candidate> found;
     list.forEachUsable(question.service, [&](const RegisteredUpstream &upstream) {
         const bool isVersionAllowed = !question.versionAllowed || question.versionAllowed(upstream.entry.version);
-        if (!isVersionAllowed || upstream.entry.id == question.excluded) {
+        if (!isVersionAllowed || (question.excluded && isSameProcess(upstream.entry, *question.excluded))) {
             return;
         }
         const bool avoided = now < upstream.avoidUntil || upstream.failureRate > limits.unhealthyFailureRate;
+        if (avoided && question.onlyHealthy) {
+            return;
+        }
         const double slots = std::max(1U, upstream.entry.slots);
         found.push_back({.upstream = &upstream,
                          .tried = question.tried.contains(upstream.entry.id),
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -5,6 +5,11 @@
 
 namespace parsleyvane {
 
+bool isSameProcess(const UpstreamEntry &a, const UpstreamEntry &b)
+{
+    return a.id == b.id && a.startedAtMs == b.startedAtMs && a.address == b.address;
+}
+
 UpstreamList::UpstreamList(UpstreamListLimits limits)
     : limits(limits)
 {
@@ -114,7 +119,7 @@
 RegisteredUpstream *UpstreamList::findProcess(const UpstreamEntry &target)
 {
     const auto found = this->upstreams.find(target.id);
-    const bool isRegistered = found != this->upstreams.end() && processOf(found->second.entry) == processOf(target);
+    const bool isRegistered = found != this->upstreams.end() && isSameProcess(found->second.entry, target);
     return isRegistered ? &found->second : nullptr;
 }
 
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/http/rfc7230.hpp>
+#include <utility>
 
 namespace parsleyvane {
 
@@ -89,7 +90,7 @@
 
 asio::awaitable<AttemptResult> ForwardedRequest::attempt()
 {
-    const auto chosen = this->chooseTarget(UpstreamId());
+    const auto chosen = this->nextTarget ? std::exchange(this->nextTarget, std::nullopt) : this->chooseTarget({});
     if (!chosen) {
         this->attemptLog.append(" none");
         co_return AttemptResult::NoUpstream;
@@ -105,6 +106,7 @@
     ++this->attempts;
     AttemptResult result = AttemptResult::Unreachable;
     this->isConnectionReusable = false;
+    this->events = 0;
     this->attemptLog.append(" ").append(target.id.str()).append(this->usesCandidate ? "/new" : "");
     if (!this->route().sizes.empty()) {
         this->attemptLog.append("/size").append(std::to_string(this->sizeIndex));
@@ -124,7 +126,7 @@
         }
         this->call = connection.get();
         if (reused || co_await connection->connect(reason)) {
-            connection->onTimeout([this, &target]() { return this->extendWait(target.id); });
+            connection->onTimeout([this, &target]() { return this->waitOrHandOver(target); });
             result = co_await this->attemptAt(target, *connection);
             connection->onTimeout({});
         }
@@ -159,7 +161,6 @@
     this->sentTo.insert(target.id);
     this->sentAt = bootClockNow();
     this->firstEventAt = TimePoint();
-    this->events = 0;
     this->isEventLatencyRecorded = false;
     this->upstreamFailed = false;
     ++this->dispatches;
@@ -382,7 +383,7 @@
                                 .promptTokens = this->facts.promptTokens,
                                 .loadLevel = this->context.loadLevels[this->service()]};
     const auto larger = largerSize(this->route(), input, this->context.sizes);
-    if (!larger || this->exchange.answered() || !this->retryObstacle().empty() || !this->chooseTarget(UpstreamId())
+    if (!larger || this->exchange.answered() || !this->retryObstacle().empty() || !this->chooseTarget({})
         || !this->context.budget.take(this->service(), bootClockNow())) {
         return false;
     }
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -210,9 +210,8 @@
     if (!why.empty()) {
         return false;
     }
-    const bool isPaid = std::exchange(this->isRetryPaid, false) || this->dispatches == 0
-        || result == AttemptResult::PoorAnswer || result == AttemptResult::Unreachable
-        || result == AttemptResult::Withdrawn;
+    const bool isPaid = this->nextTarget || this->dispatches == 0 || result == AttemptResult::PoorAnswer
+        || result == AttemptResult::Unreachable || result == AttemptResult::Withdrawn;
     if (!isPaid && !this->payForRetry()) {
         why = "repeat_budget";
     }
@@ -229,23 +228,31 @@
     return this->context.budget.take(this->service(), bootClockNow());
 }
 
-Milliseconds ForwardedRequest::extendWait(const UpstreamId &silent)
+Milliseconds ForwardedRequest::waitOrHandOver(const UpstreamEntry &silent)
 {
     const Milliseconds left = this->remainingTime();
     if (left <= Milliseconds(0)) {
         return Milliseconds(0);
     }
-    this->isRetryPaid = this->retryObstacle().empty() && this->chooseTarget(silent) && this->payForRetry();
-    return this->isRetryPaid ? Milliseconds(0) : std::min(left, silenceCheckInterval);
+    // With less time left than an answer usually takes, the silent upstream is the more likely one to answer.
+    if (left >= this->route().objective && this->retryObstacle().empty()) {
+        auto next = this->chooseTarget({.excluded = silent, .onlyHealthy = true});
+        if (next && this->context.budget.take(this->service(), bootClockNow())) {
+            this->nextTarget = std::move(next);
+            return Milliseconds(0);
+        }
+    }
+    return std::min(left, silenceCheckInterval);
 }
 
-std::optional<ForwardedRequest::Target> ForwardedRequest::chooseTarget(const UpstreamId &excluded) const
+std::optional<ForwardedRequest::Target> ForwardedRequest::chooseTarget(UpstreamRequirements requirements) const
 {
     VersionShift &shift = shiftOf(this->context, this->service());
     const TimePoint now = bootClockNow();
     bool usesCandidate = shift.routesToCandidate(this->facts.session, this->shareSample, now);
-    UpstreamRequirements requirements{.service = this->service(), .zone = this->context.zone, .tried = this->sentTo};
-    requirements.excluded = excluded;
+    requirements.service = this->service();
+    requirements.zone = this->context.zone;
+    requirements.tried = this->sentTo;
     requirements.affinity = this->affinityKey();
     for (std::size_t part = 0; part + 1 < this->facts.prompt.size(); ++part) {
         requirements.affinityTokens += this->facts.prompt.at(part).tokens;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -39,6 +39,7 @@
 
 void HttpCall::setDeadline(Milliseconds limit)
 {
+    this->isWaiting = true;
     this->deadline = std::min(std::chrono::steady_clock::now() + limit, this->totalDeadline);
     if (!this->isWatchdogActive || this->deadline < this->armedDeadline) {
         this->armWatchdog();
@@ -55,6 +56,10 @@
         if (error || !*alive || !this->isWatchdogActive) {
             return;
         }
+        if (!this->isWaiting) {
+            this->isWatchdogActive = false;
+            return;
+        }
         if (std::chrono::steady_clock::now() < this->deadline) {
             this->armWatchdog();
             return;
@@ -77,6 +82,7 @@
     this->callProgress.step = Step::Connect;
     this->setDeadline(this->limits.connect);
     co_await this->socket.async_connect(this->endpoint, asio::redirect_error(asio::use_awaitable, error));
+    this->isWaiting = false;
     if (error) {
         reason.fail(this->failureOf(error));
         co_return false;
@@ -152,6 +158,7 @@
     // A failed write may have sent part of the request: from here on, bytes count as sent.
     this->callProgress.bytesSent = request.body().size() + 1;
     co_await http::async_write(this->socket, serializer, asio::redirect_error(asio::use_awaitable, error));
+    this->isWaiting = false;
     if (error) {
         reason.fail(this->failureOf(error));
         co_return false;
@@ -188,6 +195,7 @@
     this->setDeadline(this->limits.progress);
     co_await http::async_read_header(this->socket, this->buffer, *this->parser,
                                      asio::redirect_error(asio::use_awaitable, error));
+    this->isWaiting = false;
     if (error) {
         reason.fail(this->failureOf(error));
         co_return std::nullopt;
@@ -205,6 +213,7 @@
         this->setDeadline(this->limits.progress);
         co_await http::async_read_some(this->socket, this->buffer, *this->parser,
                                        asio::redirect_error(asio::use_awaitable, error));
+        this->isWaiting = false;
         const std::size_t filled = this->readBuffer.size() - this->parser->get().body().size;
         if (filled > 0) {
             co_return std::string(this->readBuffer.data(), filled);
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -165,6 +165,7 @@
     std::shared_ptr<RouteTable> table;
     std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
     asio::ip::tcp::endpoint endpoint;
+    Milliseconds readDelay{0}; ///< time from the client's request until it reads the answer
     bool disconnectsEarly = false; ///< the client closes its connection shortly after it has sent its bytes
 
 private:
@@ -193,6 +194,8 @@
             *ended = true;
             co_return;
         }
+        asio::steady_timer readTimer(self->io, self->readDelay);
+        co_await readTimer.async_wait(asio::use_awaitable);
         std::array<char, 4096> space{};
         while (!error) {
             const auto count = co_await socket.async_read_some(asio::buffer(space),
--- a/tests/unit-net-forward-silence.cpp
+++ b/tests/unit-net-forward-silence.cpp
@@ -42,6 +42,11 @@
     CPPUNIT_TEST(aLateAnswerIsNotAbandonedWithoutRetryBudget);
     CPPUNIT_TEST(aSilentStreamResumesOnceAnotherUpstreamIsRegistered);
     CPPUNIT_TEST(aSilentUpstreamIsGivenUpAtTheDeadline);
+    CPPUNIT_TEST(aBegunStreamIsNotAbandonedWithoutRetryBudget);
+    CPPUNIT_TEST(aSilentStreamIsNotHandedToAnUpstreamThatFailed);
+    CPPUNIT_TEST(aSilentStreamIsHandedToANewProcessUnderTheSameId);
+    CPPUNIT_TEST(aSilentUpstreamIsNotGivenUpWithTooLittleTimeLeft);
+    CPPUNIT_TEST(aSlowClientIsNoSilenceOfTheUpstream);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,6 +123,74 @@
         CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 504"));
         CPPUNIT_ASSERT(bootClockNow() - startedAt < Milliseconds(1100));
     }
+
+    void aBegunStreamIsNotAbandonedWithoutRetryBudget()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Resumable, true);
+        rig.context.budget.setBounds({.ratio = 0, .slack = 0});
+        rig.upstream("u", {pausedStream()});
+        auto &other = rig.remoteUpstream("v", {pausedStream()});
+        expectWholeStream(rig.exchange(clientRequest("/stream/")));
+        CPPUNIT_ASSERT(other.requests.empty());
+    }
+
+    void aSilentStreamIsNotHandedToAnUpstreamThatFailed()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Resumable, true);
+        rig.upstream("u", {pausedStream()});
+        auto &other = rig.remoteUpstream("v", {{""}});
+        const UpstreamEntry failed = rig.context.fleetView.upstreams.find(UpstreamId("v"))->entry;
+        const TimePoint failedAt = bootClockNow() + Milliseconds(1000);
+        rig.context.fleetView.upstreams.recordOutcome(failed, UpstreamOutcome::Lost, failedAt);
+        expectWholeStream(rig.exchange(clientRequest("/stream/")));
+        CPPUNIT_ASSERT(other.requests.empty());
+    }
+
+    void aSilentStreamIsHandedToANewProcessUnderTheSameId()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Resumable, true);
+        auto &replacement = rig.upstream("u", {{streamHead() + chunkedEvent(2) + lastChunk}});
+        const UpstreamEntry restarted = rig.context.fleetView.upstreams.find(UpstreamId("u"))->entry;
+        ScriptedResponse silent{.answer = streamHead() + chunkedEvent(1), .staysSilent = true};
+        silent.onSent = [&rig, restarted]() {
+            rig.context.fleetView.upstreams.update(restarted);
+        };
+        rig.upstream("u", {silent});
+        expectWholeStream(rig.exchange(clientRequest("/stream/")));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replacement.requests.size());
+    }
+
+    void aSilentUpstreamIsNotGivenUpWithTooLittleTimeLeft()
+    {
+        ForwardRig rig;
+        rig.route("often", Repeatability::Always);
+        ScriptedResponse late{.answer = "", .rest = upstreamAnswer(200, "late")};
+        late.onSent = []() {
+        };
+        late.pause = std::chrono::milliseconds(480);
+        rig.upstream("u", {late});
+        auto &other = rig.remoteUpstream("v", {{"", true, true}});
+        // 460 ms remain, so that the silence of 300 ms ends with less time left than the objective of 200 ms.
+        const std::string deadline = deadlineHeader(Milliseconds(535));
+        CPPUNIT_ASSERT(rig.exchange(clientRequest("/often/", "r-1", deadline)).ends_with("late"));
+        CPPUNIT_ASSERT(other.requests.empty());
+    }
+
+    void aSlowClientIsNoSilenceOfTheUpstream()
+    {
+        ForwardRig rig;
+        rig.route("often", Repeatability::Always);
+        constexpr std::size_t largeBody = 12U << 20U;
+        rig.upstream("u", {{upstreamAnswer(200, std::string(largeBody, 'x'))}});
+        rig.remoteUpstream("v", {{upstreamAnswer(200, "other")}});
+        rig.readDelay = Milliseconds(900);
+        const double before = rig.context.budget.remaining(ServiceName("s"), bootClockNow());
+        CPPUNIT_ASSERT_GREATER(largeBody, rig.exchange(clientRequest("/often/"), Milliseconds(5000)).size());
+        CPPUNIT_ASSERT(rig.context.budget.remaining(ServiceName("s"), bootClockNow()) >= before);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SilenceTest);
