Report a crash in one line with its stack

Its log said nothing about it, so each cause had to be sought with a debugger.

Cause: nothing handled SIGSEGV, SIGABRT, SIGBUS, SIGFPE or SIGILL.

The daemon now writes `event=crash` with the signal, the address or the sender, and the stack to standard error, then raises the signal again with its default action, so that the exit status is as before. The handler allocates nothing, has a stack of its own, and writes what it knows before it follows a stack that may be damaged. glog's InstallFailureSignalHandler was weighed: it has no stack of its own, so that an overflowing stack leaves no trace, writes many lines, and handles SIGTERM too.

--- a/daemons/parsleyvaned.cpp
+++ b/daemons/parsleyvaned.cpp
@@ -2,6 +2,7 @@
 
 #include "parsleyvane/forward/ingressinstance.h"
 #include "parsleyvane/net/endpoint.h"
+#include "parsleyvane/net/failuresignals.h"
 #include "parsleyvane/net/instance.h"
 #include "platform/platform.h"
 
@@ -97,6 +98,7 @@
     absl::ParseCommandLine(argc, argv);
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
+    parsleyvane::installFailureSignalHandler();
     const auto settings = loadSettings();
     if (!settings) {
         return exitInvalidSettings;
--- a/tests/rig/process.h
+++ b/tests/rig/process.h
@@ -60,6 +60,8 @@
     void thaw();
     /// @brief Sends SIGTERM; does not wait.
     void terminate();
+    /// @brief Sends a signal; does not wait.
+    void signal(int number) const;
     /// @brief Waits for the exit. @return the status of waitpid(), or nothing on timeout
     std::optional<int> wait(Milliseconds bound = waitBound);
 
@@ -72,8 +74,6 @@
     }
 
 private:
-    void signal(int number) const;
-
     pid_t pid = -1;
     std::optional<int> waitStatus;
 };
