End an instance's coroutines before the instance

Any other end of an IngressInstance with requests in flight read freed memory.

Cause: the I/O context is the instance's first member and is destroyed last. It destroyed the coroutines that still waited after the objects that their destructors use: ~RunningGuard looked its upstream up in a list that no longer existed.

~IngressInstance now ends the operations of its context first. Only destructors run in that, never a handler, so nothing can go on, and the connections of unfinished answers close as before. main returns instead of leaving by quick_exit.

--- a/daemons/parsleyvaned.cpp
+++ b/daemons/parsleyvaned.cpp
@@ -10,7 +10,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
-#include <cstdlib>
+#include <csignal>
 #include <fstream>
 #include <glog/logging.h>
 #include <iostream>
@@ -72,6 +72,17 @@
     return std::make_unique<parsleyvane::platform::Platform>(context.get_executor(), store);
 }
 
+/// Holds back the signals that an instance handles: once it is destroyed, they would end the process as unplanned.
+void blockStopSignals()
+{
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&handled, signal);
+    }
+    ::pthread_sigmask(SIG_BLOCK, &handled, nullptr);
+}
+
 template<typename Program>
 int serve(Program &instance)
 {
@@ -81,6 +92,7 @@
         return exitFailure;
     }
     instance.run();
+    blockStopSignals();
     return exitOk;
 }
 
@@ -112,9 +124,7 @@
             return makePlatform(context, settings->platformAddress);
         };
         parsleyvane::IngressInstance instance(*settings, platform, loadSettings);
-        // Coroutines of aborted requests still reference the instance, so the process exits without running
-        // destructors.
-        std::quick_exit(serve(instance));
+        return serve(instance);
     }
     parsleyvane::Instance instance(*settings);
     return serve(instance);
--- a/include/parsleyvane/forward/ingressinstance.h
+++ b/include/parsleyvane/forward/ingressinstance.h
@@ -8,9 +8,9 @@
 #include "parsleyvane/core/shutdown.h"
 #include "parsleyvane/forward/fleetsync.h"
 #include "parsleyvane/forward/forwardcontext.h"
+#include "parsleyvane/net/endablecontext.h"
 #include "parsleyvane/net/httpserver.h"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <functional>
@@ -40,6 +40,10 @@
 public:
     // constructors
     IngressInstance(const InstanceSettings &settings, const PlatformFactory &makePlatform, SettingsReader reader);
+    IngressInstance(const IngressInstance &) = delete;
+    IngressInstance &operator=(const IngressInstance &) = delete;
+    /// @brief Ends what is still under way; the connections of unfinished answers close.
+    ~IngressInstance() override;
 
     // modifiers
     /// @brief Opens the listeners. @param reason InvalidSetting when an address cannot be used
@@ -65,7 +69,7 @@
 
     InstanceSettings settings;
     SettingsReader reader;
-    boost::asio::io_context io{1};
+    EndableContext io{1};
     boost::asio::signal_set stopSignals{io, SIGTERM, SIGINT};
     boost::asio::signal_set reloadSignals{io, SIGHUP};
     Metrics metrics;
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -77,6 +77,12 @@
     this->applyConfiguration();
 }
 
+IngressInstance::~IngressInstance()
+{
+    // The destructors of waiting coroutines use the members below the context.
+    this->io.endOperations();
+}
+
 bool IngressInstance::start(LastReason &reason)
 {
     this->log.line("start",
--- a/tests/multi-crash.cpp
+++ b/tests/multi-crash.cpp
@@ -59,6 +59,25 @@
         return *status;
     }
 
+    /// @brief Sends the signals from shortly before the end of the linger time until the process ends.
+    int endAmid(std::initializer_list<int> signals)
+    {
+        constexpr Milliseconds beforeEnd{2700};
+        waitUntil([this]() { return !this->process->running(); }, beforeEnd);
+        const auto limit = std::chrono::steady_clock::now() + waitBound;
+        while (this->process->running() && std::chrono::steady_clock::now() < limit) {
+            for (const int signal : signals) {
+                this->process->signal(signal);
+            }
+        }
+        return this->process->wait().value();
+    }
+
+    void requestStop()
+    {
+        this->process->terminate();
+    }
+
 private:
     std::filesystem::path directory;
     std::optional<Process> process;
@@ -107,6 +126,7 @@
     CPPUNIT_TEST(anAbortLeavesALineWithItsStack);
     CPPUNIT_TEST(aStackOverflowLeavesALineWithItsStack);
     CPPUNIT_TEST(aStopRequestIsNotReportedAsACrash);
+    CPPUNIT_TEST(signalsDuringTheEndOfAPlannedStopDoNotEndIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -157,6 +177,15 @@
         CPPUNIT_ASSERT_MESSAGE(daemon.log(), daemon.logs("event=stop phase=stopped"));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, crashLines(daemon.log()).size());
     }
+
+    void signalsDuringTheEndOfAPlannedStopDoNotEndIt()
+    {
+        IngressDaemon daemon("signals");
+        daemon.requestStop();
+        const int status = daemon.endAmid({SIGTERM, SIGHUP, SIGINT});
+        CPPUNIT_ASSERT_MESSAGE("wait status " + std::to_string(status), WIFEXITED(status));
+        CPPUNIT_ASSERT_EQUAL(0, WEXITSTATUS(status));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashTest);
