Let a call being served outlive the loop that serves it

Seen: unit-net-control ended with "double free or corruption" once while other tests ran beside it; repeated beside load, 2 of 40 runs of the plain build and 3 of 40 of the sanitizer build, which shows a heap-use-after-free in the clean-up of PeerLoop::serve, after ~PeerLoop.

Cause: a call that is being served may be destroyed with the event loop, after the loop object; its clean-up erased from that object's map.

The map is shared now, and the clean-up holds it weakly. Ruled out: the order of the members, which already destroyed the sessions first.

A daemon that stops could have hit it; not seen in one.

--- a/src/net/peerloop.cpp
+++ b/src/net/peerloop.cpp
@@ -232,19 +232,23 @@
     if (place != this->sessions.end()) {
         place->second.lastUsedAt = this->timer.now();
     }
-    KJ_REQUIRE(this->pendingAnswers.size() < PeerLimits::maxPendingAnswers, "too many pending calls");
+    KJ_REQUIRE(this->pendingAnswers->size() < PeerLimits::maxPendingAnswers, "too many pending calls");
     const std::uint64_t number = ++this->lastNumber;
     auto pair = kj::newPromiseAndFulfiller<kj::Own<PeerAnswer>>();
-    this->pendingAnswers.emplace(number, kj::mv(pair.fulfiller));
+    this->pendingAnswers->emplace(number, kj::mv(pair.fulfiller));
     this->forwardCall(number, std::move(call));
-    auto cleanUp = kj::defer([this, number]() { this->pendingAnswers.erase(number); });
+    auto cleanUp = kj::defer([answers = std::weak_ptr(this->pendingAnswers), number]() {
+        if (const auto remaining = answers.lock()) {
+            remaining->erase(number);
+        }
+    });
     return this->timer.timeoutAfter(PeerLimits::answerTimeout, kj::mv(pair.promise)).attach(kj::mv(cleanUp));
 }
 
 void PeerLoop::answer(std::uint64_t number, std::optional<PeerAnswer> answer)
 {
-    const auto place = this->pendingAnswers.find(number);
-    if (place == this->pendingAnswers.end()) {
+    const auto place = this->pendingAnswers->find(number);
+    if (place == this->pendingAnswers->end()) {
         return;
     }
     if (answer) {
--- a/src/net/peerloop.h
+++ b/src/net/peerloop.h
@@ -92,6 +92,8 @@
     kj::Promise<kj::Own<PeerAnswer>> serve(std::uint64_t session, PeerCall call);
 
 private:
+    using PendingAnswers = std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<kj::Own<PeerAnswer>>>>;
+
     void taskFailed(kj::Exception &&exception) override;
     kj::Promise<void> readMailbox();
     kj::Promise<void> acceptNext();
@@ -110,8 +112,9 @@
     kj::Own<kj::ConnectionReceiver> listener;
     kj::PromiseFulfillerPair<void> done;
     std::uint64_t lastNumber = 0;
-    // Destroyed in reverse order: tasks use the links, and calls being served use the pending answers.
-    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<kj::Own<PeerAnswer>>>> pendingAnswers;
+    /// Shared, since a call that is being served may be destroyed with the event loop, after this object.
+    std::shared_ptr<PendingAnswers> pendingAnswers = std::make_shared<PendingAnswers>();
+    // Destroyed in reverse order: tasks use the links.
     std::map<std::string, PeerLink> links;
     std::map<std::uint64_t, PeerSession> sessions;
     kj::TaskSet tasks;
