Bound the memory of answers that are buffered

Callers saw: nothing at once; an answer without end was buffered up to 16 MiB for each request, and the answer to another request was read up to that size before the attempt was given up. A machine has 160 MB and serves many requests at once.

Cause: the only limit was that of HttpCall for a body.

Change: an answer may take 1 MiB, and the answers of an instance together 16 MiB, a tenth of the smallest machine's memory; one of up to 16 KiB is always accepted, so that large ones don't crowd out the usual ones (the platform's pages name 800 bytes). What exceeds this is bad data: a repeatable request goes to another upstream, one that may have run gets 502. Of another request's answer 64 KiB are read at most. The pages state no limit for answers; the constants are in AnswerMemoryLimits, and no setting renders them yet.

Evidence: without the change aBodyWithoutLengthOrEndIsNotRelayed (16,960,512 bytes sent before the connection was closed, bound 1,572,864) and anotherRequestsEndlessAnswerIsNotReadOn (17,153,889) fail, and so did aChunkedBodyWithoutEndIsNotRelayed with smaller chunks; with it they pass (unit-net-forward-endless). simultaneousAnswersWithoutEndShareALimit tests the sum by itself; no test runs many such answers through the ingress.

--- a/include/parsleyvane/forward/forwardcontext.h
+++ b/include/parsleyvane/forward/forwardcontext.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include "parsleyvane/forward/answermemory.h"
 #include "parsleyvane/forward/connectionpool.h"
 #include "parsleyvane/forward/decisionlog.h"
 #include "parsleyvane/forward/platformport.h"
@@ -54,6 +55,7 @@
     FleetView fleetView;
     RepeatBudget budget{RepeatBounds()};
     ConnectionPool pool{PoolLimits()};
+    AnswerMemory answerMemory{AnswerMemoryLimits()};
     SizeLimits sizes;
     /// @brief Load level by service: moving average of the largest model's time to first event, divided by its
     /// objective.
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds unacknowledgedLimit{1000};
 /// Late answers to earlier requests, and interim (1xx) answers, that are skipped before this request's own.
 constexpr unsigned maxForeignAnswers = 2;
+/// To read on past this costs more than another attempt on a new connection.
+constexpr std::size_t maxDiscardedBytes = 65536;
 /// Fraction of the objective to wait for the first event before a retry on another upstream.
 constexpr double firstEventFactor = 0.75;
 /// Multiple of the objective to wait for a non-streamed answer before a retry on another upstream.
@@ -192,7 +194,12 @@
             // An answer to an earlier request on this connection: it is read to its end and discarded.
             this->attemptLog.append(" foreign_answer");
             std::optional<std::string> piece = co_await connection.readSome(reason);
+            std::size_t discarded = 0;
             while (piece && !piece->empty()) {
+                discarded += piece->size();
+                if (discarded > maxDiscardedBytes) {
+                    co_return AttemptResult::BadData;
+                }
                 piece = co_await connection.readSome(reason);
             }
             if (!piece) {
@@ -227,6 +234,7 @@
     LastReason reason;
     WholeAnswer answer{.status = static_cast<int>(connection.head().result_int()),
                        .head = forwardableHead(connection.head())};
+    AnswerShare share(this->context.answerMemory);
     while (true) {
         auto piece = co_await connection.readSome(reason);
         if (!piece) {
@@ -235,6 +243,10 @@
         if (piece->empty()) {
             break;
         }
+        if (!share.take(piece->size())) {
+            this->attemptLog.append(" answer_too_long");
+            co_return AttemptResult::BadData;
+        }
         answer.body.append(*piece);
     }
     this->isConnectionReusable = true;
--- a/tests/unit-net-forward-endless.cpp
+++ b/tests/unit-net-forward-endless.cpp
@@ -195,6 +195,9 @@
     CPPUNIT_TEST(anInterimAnswerDoesNotPromiseNotRun);
     CPPUNIT_TEST(theAnswerAfterAnInterimOneIsRelayed);
     CPPUNIT_TEST(aBodyWithAHugeLengthIsNotRelayed);
+    CPPUNIT_TEST(aChunkedBodyWithoutEndIsNotRelayed);
+    CPPUNIT_TEST(aBodyWithoutLengthOrEndIsNotRelayed);
+    CPPUNIT_TEST(simultaneousAnswersWithoutEndShareALimit);
     CPPUNIT_TEST(aTricklingBodyIsAbandonedAtTheDeadline);
     CPPUNIT_TEST(aChunkExtensionWithoutEndIsNotBuffered);
     CPPUNIT_TEST(trailersWithoutEndAreNotBuffered);
@@ -205,6 +208,7 @@
     CPPUNIT_TEST(eventsThatWereRelayedBeforeAreNotProgress);
     CPPUNIT_TEST(aStreamOfValidEventsEndsAtTheDeadline);
     CPPUNIT_TEST(anotherRequestsSlowAnswerIsAbandoned);
+    CPPUNIT_TEST(anotherRequestsEndlessAnswerIsNotReadOn);
     CPPUNIT_TEST(bytesWithoutEndAfterAnAnswerCloseTheConnection);
     CPPUNIT_TEST(bytesWithoutEndAfterAStreamCloseTheConnection);
     CPPUNIT_TEST_SUITE_END();
@@ -262,6 +266,35 @@
         expectNoAnswer(slowResponse(head, "x"), maxAnswerBytes);
     }
 
+    void aChunkedBodyWithoutEndIsNotRelayed()
+    {
+        expectNoAnswer(fastResponse(chunkedHead, chunk(std::string(fastPieceBytes, 'x'))), maxAnswerBytes);
+        expectNoAnswer(fastResponse(chunkedHead + "ffffffff\r\n", "x"), maxAnswerBytes);
+    }
+
+    void aBodyWithoutLengthOrEndIsNotRelayed()
+    {
+        expectNoAnswer(fastResponse(signedHead + "\r\n", "x"), maxAnswerBytes);
+    }
+
+    void simultaneousAnswersWithoutEndShareALimit()
+    {
+        AnswerMemory memory({.answerBytes = 100, .totalBytes = 150, .smallAnswerBytes = 10});
+        {
+            AnswerShare first(memory);
+            AnswerShare second(memory);
+            AnswerShare small(memory);
+            CPPUNIT_ASSERT(first.take(100));
+            CPPUNIT_ASSERT(!first.take(1));
+            CPPUNIT_ASSERT(second.take(50));
+            CPPUNIT_ASSERT(!second.take(1));
+            CPPUNIT_ASSERT(small.take(10));
+            CPPUNIT_ASSERT(!small.take(1));
+        }
+        AnswerShare later(memory);
+        CPPUNIT_ASSERT(later.take(100));
+    }
+
     void aTricklingBodyIsAbandonedAtTheDeadline()
     {
         expectNoAnswer(slowResponse(signedHead + "\r\n", "xyz"), maxAnswerBytes);
@@ -352,6 +385,12 @@
         expectForeignAnswerAbandoned(slowResponse(foreignChunkedHead, chunk("x")));
     }
 
+    void anotherRequestsEndlessAnswerIsNotReadOn()
+    {
+        expectForeignAnswerAbandoned(fastResponse(foreignHead, "x"));
+        expectForeignAnswerAbandoned(fastResponse(foreignChunkedHead, chunk("some bytes")));
+    }
+
     void bytesWithoutEndAfterAnAnswerCloseTheConnection()
     {
         for (const char *path : {"/once/", "/often/"}) {
