Close an idle connection to an upstream when bytes arrive on it

Callers saw: nothing at once; bytes that an upstream sent after a complete answer stayed unread on the idle connection until it was taken or expired, and unread bytes count as the process's memory.

Cause: the pool looked at an idle connection only when it was taken.

Change: HttpCall::watchIdle waits for input and closes the connection; sending a request ends the wait. An idle connection that its upstream closes is freed at once, too. The check when a connection is taken stays.

Evidence: bytesOnAnIdleConnectionCloseIt fails without the change (the connection is still open after 350 ms) and passes with it (unit-net-forward-endless); unit-net-forward, -silence, -reconfiguration, unit-net-platform and unit-ingress pass.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -94,6 +94,8 @@
     void onTimeout(std::function<Milliseconds()> handler);
     /// @brief Suspends the time limits until the next call on this connection.
     void suspendTimeouts();
+    /// @brief As suspendTimeouts(), and closes the connection as soon as bytes arrive or the peer closes it.
+    void watchIdle();
     /// @brief Closes the connection immediately; a pending read fails with UpstreamLost. Idempotent.
     void close() noexcept;
 
@@ -146,6 +148,7 @@
     std::chrono::steady_clock::time_point totalDeadline = std::chrono::steady_clock::time_point::max();
     std::function<Milliseconds()> timeoutHandler;
     bool isWatchdogActive = false;
+    bool isIdle = false; ///< watchIdle() was called, and no call since
     bool expired = false;
     unsigned calls = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/net/forward/connectionpool.cpp
+++ b/src/net/forward/connectionpool.cpp
@@ -25,7 +25,7 @@
     if (connections.size() >= this->limits.maxPerUpstream) {
         connections.pop_front();
     }
-    call->suspendTimeouts();
+    call->watchIdle();
     connections.push_back({std::move(call), now});
 }
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -126,6 +126,18 @@
     this->watchdog.cancel();
 }
 
+void HttpCall::watchIdle()
+{
+    this->suspendTimeouts();
+    this->isIdle = true;
+    this->socket.async_wait(asio::socket_base::wait_read,
+                            [this, alive = this->alive](const boost::system::error_code &error) {
+                                if (!error && *alive && this->isIdle) {
+                                    this->close();
+                                }
+                            });
+}
+
 bool HttpCall::reusable() const
 {
     return this->parser && this->parser->is_done() && this->buffer.size() == 0 && this->parser->get().keep_alive()
@@ -146,6 +158,10 @@
 {
     boost::system::error_code error;
     ++this->calls;
+    if (this->isIdle) {
+        this->isIdle = false;
+        this->socket.cancel(error);
+    }
     this->callProgress = CallProgress{.step = Step::Send};
     this->setDeadline(this->limits.progress);
     http::serializer<true, http::string_body> serializer(request);
--- a/tests/unit-net-forward-endless.cpp
+++ b/tests/unit-net-forward-endless.cpp
@@ -211,6 +211,7 @@
     CPPUNIT_TEST(anotherRequestsEndlessAnswerIsNotReadOn);
     CPPUNIT_TEST(bytesWithoutEndAfterAnAnswerCloseTheConnection);
     CPPUNIT_TEST(bytesWithoutEndAfterAStreamCloseTheConnection);
+    CPPUNIT_TEST(bytesOnAnIdleConnectionCloseIt);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -410,6 +411,19 @@
         CPPUNIT_ASSERT(received.answer.ends_with("0\r\n\r\n"));
         expectClosed(rig, *rig.endless, maxHeadBytes);
     }
+
+    void bytesOnAnIdleConnectionCloseIt()
+    {
+        for (const char *text : {"x", "HTTP/1.1 200 OK\r\nX-Parsleyvane-Attempt-Id: r-0\r\n\r\n"}) {
+            ScriptedResponse late = fastResponse(wholeAnswer, text);
+            late.onSent = []() {
+            };
+            EndlessRig rig(late);
+            CPPUNIT_ASSERT(request(rig, "/often/").answer.ends_with("whole"));
+            rig.runFor(closeTime);
+            expectClosed(rig, *rig.endless, maxHeadBytes);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessTest);
