--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -107,6 +107,7 @@
     bool isRepeatable() const;
     Milliseconds remainingTime() const;
     std::string affinityKey() const;
+    std::string promptText() const;
     int rank() const;
     const RouteRule &route() const
     {
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -360,6 +360,15 @@
     return name;
 }
 
+std::string ForwardedRequest::promptText() const
+{
+    std::string text;
+    for (const PromptPart &part : this->facts.prompt) {
+        text.append(text.empty() ? "" : ",").append(part.id);
+    }
+    return text.empty() ? "-" : text;
+}
+
 void ForwardedRequest::logAnswer(int status, std::string_view why)
 {
     const TimePoint now = bootClockNow();
@@ -380,6 +389,7 @@
          {"route", routeName.empty() ? "-" : routeName},
          {"account", account.empty() ? "-" : account},
          {"session", this->facts.session.empty() ? "-" : this->facts.session},
+         {"prompt", this->promptText()},
          {"status", static_cast<std::int64_t>(status)},
          {"why", why},
          {"run", runStateName(this->combinedRunState)},
