Block prompt parts that crash upstreams, whatever request they come in

Cause: crashes were counted by the whole request; no two requests with the part are alike, so each began at zero. Now: a crashed process accuses all that it ran before a first event, parts and requests alike; an answer after the crash clears them at every instance; the suspect that explains the most crashes is blocked, from three on, and explains them. A process that shows life didn't crash. Rows survive a restart.

--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -84,6 +84,7 @@
     void updateReachability(const Reader &reader, bool answers, const std::string &detail);
     void updateClockOffset(const TableSnapshot &snapshot);
     TimePoint localTime(Milliseconds storeTime) const;
+    void logBlocks();
     void logEvidence(const InstanceId &from, const VersionReport &version);
     FleetReport report() const;
 
@@ -97,6 +98,7 @@
     Milliseconds storeClockOffset{0}; ///< the store's steady clock minus this machine's
     bool isClockOffsetKnown = false;
     FleetReport published;
+    bool isOwnReportKnown = false; ///< what this instance published before a restart was read, or it has published
     bool publishing = false;
     bool publishPending = false;
     std::map<ServiceName, bool> advancingRollouts;
--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -86,8 +86,9 @@
     boost::asio::awaitable<AttemptResult> attemptAt(const UpstreamEntry &target, HttpCall &connection);
     boost::asio::awaitable<AttemptResult> readAnswer(const UpstreamEntry &target, HttpCall &connection);
     boost::asio::awaitable<AttemptResult> readWhole(HttpCall &connection, const AnswerHead &facts);
-    boost::asio::awaitable<AttemptResult> readStream(HttpCall &connection);
-    boost::asio::awaitable<std::optional<AttemptResult>> forwardEvents(HttpCall &connection, EventSplitter &splitter);
+    boost::asio::awaitable<AttemptResult> readStream(const UpstreamEntry &target, HttpCall &connection);
+    boost::asio::awaitable<std::optional<AttemptResult>> forwardEvents(const UpstreamEntry &target,
+                                                                       HttpCall &connection, EventSplitter &splitter);
     boost::asio::awaitable<AttemptResult> deliver(WholeAnswer answer);
     boost::asio::awaitable<void> finish();
     boost::asio::awaitable<void> refuse(const Failure &failure);
@@ -95,6 +96,8 @@
     bool isTargetStillValid(const UpstreamEntry &target) const;
     bool escalateToLargerModel(const AnswerHead &facts);
     void recordResult(const UpstreamEntry &target, AttemptResult result);
+    void recordCrash(const UpstreamEntry &target);
+    void recordSurvival(const UpstreamEntry &target);
     void recordVersionEvidence(AttemptResult result);
     void recordTimeToFirstEvent(TimePoint now);
     void recordEventLatency();
@@ -144,7 +147,7 @@
     TimePoint sentAt{};
     std::string attemptLog; ///< summary of the attempts for the log
     std::string stopReason; ///< why no further attempt was made; empty while there may be one
-    Fingerprint fingerprint; ///< the same for each repeat of the request by its client
+    CrashSuspects suspects; ///< what its client's repeats of it, and other requests, have in common with it
     HttpCall *call = nullptr; ///< the connection in use
     bool upstreamFailed = false; ///< this attempt's complete answer was a server error
     bool isEventLatencyRecorded = false; ///< the inter-event latency of this attempt was recorded
--- a/include/parsleyvane/ingress/crashledger.h
+++ b/include/parsleyvane/ingress/crashledger.h
@@ -1,6 +1,6 @@
 /**
  * @file
- * @brief Detects requests that crash every upstream that runs them, from the reports of all instances.
+ * @brief Detects what crashes every upstream that runs it, from the crashes that all instances observe.
  */
 #pragma once
 
@@ -8,35 +8,89 @@
 #include "parsleyvane/quarantine/quarantine.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace parsleyvane {
 
-/// @brief The upstream processes that a request is suspected to have crashed.
+/// @brief What a request is made of, as far as it may crash an upstream: the shared parts of its prompt in order, then
+/// the request as a whole.
+using CrashSuspects = std::vector<Fingerprint>;
+
+/**
+ * @brief Fingerprints the suspects of a request. Complexity: linear in the parts and the body.
+ * @param sharedParts ids of the prompt's parts that other requests may contain too; at most 32 are considered
+ */
+CrashSuspects crashSuspects(const std::vector<std::string_view> &sharedParts, std::string_view caller,
+                            std::string_view body);
+
+/// @brief A crashed upstream process, and what it was running before its first event.
 struct CrashReport
 {
-    Fingerprint print;
     /// Upstream id and process start, so that crashes of two processes of one upstream count twice.
-    std::set<std::string> sites;
+    std::string site;
+    TimePoint at{};
+    /// By fingerprint: the position within its request. A later one is shared by fewer requests.
+    std::map<Fingerprint, unsigned> suspects;
 
     friend bool operator==(const CrashReport &, const CrashReport &) = default;
 };
 
+/// @brief An upstream answered a request that contains the suspect.
+struct SuspectCleared
+{
+    Fingerprint print;
+    TimePoint at{};
+
+    friend bool operator==(const SuspectCleared &, const SuspectCleared &) = default;
+};
+
+/// @brief What one instance knows about crashes and publishes to the others. Times are on the store's clock there.
+struct CrashEvidence
+{
+    std::vector<CrashReport> crashes;
+    std::vector<SuspectCleared> cleared;
+
+    friend bool operator==(const CrashEvidence &, const CrashEvidence &) = default;
+};
+
+/// @brief The evidence with all times moved by the offset, for another clock.
+CrashEvidence shifted(CrashEvidence evidence, Milliseconds offset);
+
+/// @brief A suspect was blocked or unblocked.
+struct BlockChange
+{
+    Fingerprint print;
+    bool isBlocked = false;
+    std::set<std::string> sites; ///< the crashes that blocked it
+    Milliseconds age{0}; ///< of the newest of them
+};
+
 /// @brief Tunable values of CrashLedger.
 struct CrashLimits
 {
-    std::size_t crashesToBlock = 3; ///< number of sites from which on a request is blocked
-    Milliseconds retention{120000}; ///< after the request's latest crash
-    std::size_t maxFingerprints = 2048; ///< when full, a crash observed here replaces the oldest; merge() adds none
-    std::size_t maxReported = 40; ///< maximum number of fingerprints in report(), which keeps the row small
+    std::size_t crashesToBlock = 3; ///< number of sites from which on a suspect is blocked
+    Milliseconds retention{120000}; ///< of a crash that blocks nothing
+    Milliseconds blockRetention{600000}; ///< of a block, after the latest crash
+    Milliseconds answerRetention{10000}; ///< reports of a crash arrive within this time
+    Milliseconds lifeMargin{100}; ///< bytes of a crashed process may be read this long after the crash was observed
+    std::size_t maxSites = 256; ///< when full, a new crash replaces the oldest that blocks nothing
+    std::size_t maxSuspects = 64; ///< of one crash
+    std::size_t maxAnswers = 8192; ///< suspects whose latest answer is known
+    std::size_t maxReported = 24; ///< crashes in report(), which keeps the row small
 };
 
 /**
- * @brief Counts, for each request, the upstream processes whose connection broke before any answer.
+ * @brief Collects the crashes of upstream processes and blocks what they have in common.
  *
- * An answer to the request clears its count. Complexity: logarithmic in the fingerprints unless said otherwise.
+ * Each crash has a set of suspects: all that the process was running before its first event. A later answer to a
+ * request that contains a suspect clears it. A sign of life from the process shows that only connections broke. The
+ * suspect with the most crashes is blocked and explains them, so that what merely accompanied it isn't blocked too; of
+ * several with as many crashes, the last in the request is blocked, as it is shared by the fewest requests. Reports of
+ * other instances may be late, repeated or out of order. Complexity: logarithmic in the suspects unless said otherwise.
  */
 class CrashLedger
 {
@@ -45,31 +99,63 @@
     explicit CrashLedger(CrashLimits limits = {});
 
     // modifiers
-    /// @brief Records that the connection broke before any answer. @param site as in CrashReport::sites
-    void onLost(const Fingerprint &print, const std::string &site, TimePoint now);
-    /// @brief Clears the request: an upstream has answered it.
-    void onAnswered(const Fingerprint &print);
-    /// @brief Adds the reports of another instance. Complexity: linear in the reports.
-    void merge(const std::vector<CrashReport> &reports, TimePoint now);
-    /// @brief Removes requests whose retention has passed. Complexity: linear.
+    /// @brief Records that the connection broke before any event. Complexity: linear in the crashes.
+    /// @param site as in CrashReport
+    void onLost(const CrashSuspects &suspects, const std::string &site, TimePoint now);
+    /// @brief Records a sign of life from a process. Complexity: linear in the crashes when it refutes one.
+    void onAlive(const std::string &site, TimePoint now);
+    /// @brief Records that a process has begun to answer. Complexity: linear in the crashes.
+    /// @return whether the others need to know: without this answer they might block one of the suspects
+    bool onAnswered(const CrashSuspects &suspects, const std::string &site, TimePoint now);
+    /// @brief Adds the evidence of another instance. Complexity: linear in the evidence.
+    void merge(const CrashEvidence &evidence, TimePoint now);
+    /// @brief Adds what this instance had published before it restarted; it is published again.
+    void restore(const CrashEvidence &evidence, TimePoint now);
+    /**
+     * @brief Removes what is older than its retention. Complexity: linear.
+     *
+     * A block ends after blockRetention, but one further crash within as long renews it.
+     */
     void expire(TimePoint now);
+    /// @brief The blocks that began or ended since the last call.
+    std::vector<BlockChange> takeChanges();
 
     // observers
-    /// @brief Whether the request has crashed too many upstream processes to be sent again.
-    bool isBlocked(const Fingerprint &print) const;
-    /// @brief The crashes that this instance observed itself, newest first. Complexity: n log n.
-    std::vector<CrashReport> report() const;
+    /// @brief The suspect that has crashed too many upstream processes for the request to be sent, if any.
+    std::optional<Fingerprint> blockedOf(const CrashSuspects &suspects) const;
+    /// @brief The evidence that this instance has observed itself, the newest crashes only. Complexity: linear.
+    CrashEvidence report() const;
 
 private:
-    struct Suspect
+    struct Crash
     {
-        std::set<std::string> ownSites;
-        std::set<std::string> sites; ///< observed by any instance
-        TimePoint lastCrashAt{};
+        TimePoint at{};
+        std::map<Fingerprint, unsigned> suspects;
+        std::map<Fingerprint, unsigned> ownSuspects; ///< observed by this instance
+        TimePoint aliveAt{}; ///< the latest sign of life from the process
+        TimePoint keptUntil{}; ///< set while it blocks a suspect
     };
+    struct Answers
+    {
+        TimePoint known{}; ///< by any instance
+        TimePoint published{}; ///< by any instance, for all to know
+        bool isOwn = false; ///< this instance has published it
+    };
+
+    Crash &crashAt(const std::string &site, TimePoint at);
+    void add(const CrashEvidence &evidence, TimePoint now, bool own);
+    void makeRoom();
+    TimePoint newestOf(const std::set<std::string> &sites) const;
+    bool isRefuted(const Crash &crash) const;
+    bool accuses(const Crash &crash, const Fingerprint &print, bool publishedOnly) const;
+    std::size_t crashesOf(const Fingerprint &print, bool publishedOnly) const;
+    void update(TimePoint now);
 
     CrashLimits limits;
-    std::map<Fingerprint, Suspect> suspects;
+    std::map<std::string, Crash> crashes; ///< by site
+    std::map<Fingerprint, Answers> answers;
+    std::map<Fingerprint, std::set<std::string>> blocked; ///< with the sites that it explains
+    std::vector<BlockChange> changes;
 };
 
 } // namespace parsleyvane
--- a/include/parsleyvane/ingress/fleetreport.h
+++ b/include/parsleyvane/ingress/fleetreport.h
@@ -16,7 +16,7 @@
 /// @brief Evidence of one instance. Its row is written only when there is evidence.
 struct FleetReport
 {
-    std::vector<CrashReport> crashes;
+    CrashEvidence crashes;
     std::vector<VersionReport> versions; ///< for roll-outs with evidence against the new version
 
     friend bool operator==(const FleetReport &, const FleetReport &) = default;
--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -34,6 +34,9 @@
 /// @brief Whether both entries were written by the same process.
 bool isSameProcess(const UpstreamEntry &a, const UpstreamEntry &b);
 
+/// @brief Names the entry's process: its id and its start.
+std::string processName(const UpstreamEntry &entry);
+
 /// @brief Result of an attempt, as far as it is evidence for or against the upstream.
 enum class UpstreamOutcome {
     Answered, ///< a complete answer
--- a/src/core/ingress/crashledger.cpp
+++ b/src/core/ingress/crashledger.cpp
@@ -1,78 +1,297 @@
 #include "parsleyvane/ingress/crashledger.h"
 
+#include "parsleyvane/membership/rendezvous.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace parsleyvane {
 
+CrashSuspects crashSuspects(const std::vector<std::string_view> &sharedParts, std::string_view caller,
+                            std::string_view body)
+{
+    constexpr std::size_t maxParts = 32;
+    CrashSuspects suspects;
+    for (const std::string_view part : sharedParts) {
+        if (suspects.size() == maxParts) {
+            break;
+        }
+        suspects.emplace_back("part-" + std::to_string(rendezvousWeight("part", part)));
+    }
+    suspects.emplace_back(std::to_string(rendezvousWeight(caller, body)));
+    return suspects;
+}
+
+CrashEvidence shifted(CrashEvidence evidence, Milliseconds offset)
+{
+    for (CrashReport &crash : evidence.crashes) {
+        crash.at += offset;
+    }
+    for (SuspectCleared &cleared : evidence.cleared) {
+        cleared.at += offset;
+    }
+    return evidence;
+}
+
 CrashLedger::CrashLedger(CrashLimits limits)
     : limits(limits)
 {
 }
 
-void CrashLedger::onLost(const Fingerprint &print, const std::string &site, TimePoint now)
+CrashLedger::Crash &CrashLedger::crashAt(const std::string &site, TimePoint at)
 {
-    if (this->suspects.size() >= this->limits.maxFingerprints && !this->suspects.contains(print)) {
-        const auto oldest
-            = std::min_element(this->suspects.begin(), this->suspects.end(), [](const auto &a, const auto &b) {
-                  return a.second.lastCrashAt < b.second.lastCrashAt;
-              });
-        this->suspects.erase(oldest);
+    if (!this->crashes.contains(site)) {
+        this->makeRoom();
+    }
+    const auto [found, isNew] = this->crashes.try_emplace(site, Crash{.at = at});
+    Crash &crash = found->second;
+    if (this->isRefuted(crash) && at > crash.aliveAt) {
+        crash = Crash{.at = at, .aliveAt = crash.aliveAt};
+    } else if (!this->isRefuted(crash)) {
+        crash.at = std::min(crash.at, at);
     }
-    Suspect &suspect = this->suspects[print];
-    suspect.ownSites.insert(site);
-    suspect.sites.insert(site);
-    suspect.lastCrashAt = now;
+    return crash;
 }
 
-void CrashLedger::onAnswered(const Fingerprint &print)
+void CrashLedger::makeRoom()
 {
-    this->suspects.erase(print);
+    if (this->crashes.size() < this->limits.maxSites) {
+        return;
+    }
+    auto oldest = this->crashes.end();
+    for (auto crash = this->crashes.begin(); crash != this->crashes.end(); ++crash) {
+        const bool isNeeded = std::any_of(this->blocked.begin(), this->blocked.end(),
+                                          [&](const auto &block) { return block.second.contains(crash->first); });
+        if (!isNeeded && (oldest == this->crashes.end() || crash->second.at < oldest->second.at)) {
+            oldest = crash;
+        }
+    }
+    this->crashes.erase(oldest != this->crashes.end() ? oldest : this->crashes.begin());
 }
 
-void CrashLedger::merge(const std::vector<CrashReport> &reports, TimePoint now)
+void CrashLedger::onLost(const CrashSuspects &suspects, const std::string &site, TimePoint now)
 {
-    for (const CrashReport &report : reports) {
-        if (this->suspects.size() >= this->limits.maxFingerprints) {
-            return;
+    Crash &crash = this->crashAt(site, now);
+    unsigned depth = 0;
+    for (const Fingerprint &print : suspects) {
+        if (crash.ownSuspects.size() >= this->limits.maxSuspects) {
+            break;
         }
-        Suspect &suspect = this->suspects[report.print];
-        for (const std::string &site : report.sites) {
-            if (suspect.sites.insert(site).second) {
-                suspect.lastCrashAt = now;
-            }
+        crash.ownSuspects[print] = depth;
+        crash.suspects[print] = depth;
+        ++depth;
+    }
+    this->update(now);
+}
+
+void CrashLedger::onAlive(const std::string &site, TimePoint now)
+{
+    const auto crash = this->crashes.find(site);
+    if (crash == this->crashes.end()) {
+        return;
+    }
+    const bool wasRefuted = this->isRefuted(crash->second);
+    crash->second.aliveAt = now;
+    if (this->isRefuted(crash->second) != wasRefuted) {
+        this->update(now);
+    }
+}
+
+bool CrashLedger::onAnswered(const CrashSuspects &suspects, const std::string &site, TimePoint now)
+{
+    bool isNews = false;
+    bool isChanged = false;
+    this->onAlive(site, now);
+    for (const Fingerprint &print : suspects) {
+        isChanged = isChanged || this->crashesOf(print, false) > 0;
+        if (!this->answers.contains(print) && this->answers.size() >= this->limits.maxAnswers) {
+            continue;
+        }
+        Answers &known = this->answers[print];
+        known.known = now;
+        if (this->crashesOf(print, true) + 1 >= this->limits.crashesToBlock) {
+            known.published = now;
+            known.isOwn = true;
+            isNews = true;
         }
     }
+    if (isChanged) {
+        this->update(now);
+    }
+    return isNews;
+}
+
+void CrashLedger::merge(const CrashEvidence &evidence, TimePoint now)
+{
+    this->add(evidence, now, false);
+}
+
+void CrashLedger::restore(const CrashEvidence &evidence, TimePoint now)
+{
+    this->add(evidence, now, true);
+}
+
+void CrashLedger::add(const CrashEvidence &evidence, TimePoint now, bool own)
+{
+    for (const CrashReport &report : evidence.crashes) {
+        if (now - report.at > this->limits.blockRetention) {
+            continue;
+        }
+        Crash &crash = this->crashAt(report.site, report.at);
+        if (this->isRefuted(crash)) {
+            continue;
+        }
+        crash.suspects.insert(report.suspects.begin(), report.suspects.end());
+        if (own) {
+            crash.ownSuspects.insert(report.suspects.begin(), report.suspects.end());
+        }
+    }
+    for (const SuspectCleared &cleared : evidence.cleared) {
+        if (now - cleared.at > this->limits.blockRetention) {
+            continue;
+        }
+        Answers &known = this->answers[cleared.print];
+        known.known = std::max(known.known, cleared.at);
+        if (cleared.at > known.published) {
+            known.published = cleared.at;
+            known.isOwn = own;
+        }
+    }
+    this->update(now);
 }
 
 void CrashLedger::expire(TimePoint now)
 {
-    std::erase_if(this->suspects,
-                  [&](const auto &entry) { return now - entry.second.lastCrashAt > this->limits.retention; });
+    for (const auto &[print, sites] : this->blocked) {
+        const TimePoint endsAt = this->newestOf(sites) + this->limits.blockRetention;
+        std::size_t kept = sites.size();
+        for (const std::string &site : sites) {
+            if (now > endsAt && kept >= this->limits.crashesToBlock) {
+                this->crashes.erase(site);
+                --kept;
+                continue;
+            }
+            // What remains after the block is one crash short of it.
+            Crash &crash = this->crashes.at(site);
+            crash.keptUntil = std::max(crash.keptUntil, endsAt + this->limits.blockRetention);
+        }
+    }
+    std::erase_if(this->crashes, [&](const auto &entry) {
+        return now > std::max(entry.second.at + this->limits.retention, entry.second.keptUntil);
+    });
+    std::erase_if(this->answers, [&](const auto &entry) {
+        const Answers &known = entry.second;
+        return now - known.known > this->limits.answerRetention && now - known.published > this->limits.retention
+            && this->crashesOf(entry.first, true) == 0;
+    });
+    this->update(now);
+}
+
+TimePoint CrashLedger::newestOf(const std::set<std::string> &sites) const
+{
+    TimePoint newest{};
+    for (const std::string &site : sites) {
+        newest = std::max(newest, this->crashes.at(site).at);
+    }
+    return newest;
+}
+
+std::vector<BlockChange> CrashLedger::takeChanges()
+{
+    return std::exchange(this->changes, {});
 }
 
-bool CrashLedger::isBlocked(const Fingerprint &print) const
+std::optional<Fingerprint> CrashLedger::blockedOf(const CrashSuspects &suspects) const
 {
-    const auto found = this->suspects.find(print);
-    return found != this->suspects.end() && found->second.sites.size() >= this->limits.crashesToBlock;
+    const auto found = std::find_if(suspects.begin(), suspects.end(),
+                                    [&](const Fingerprint &print) { return this->blocked.contains(print); });
+    return found != suspects.end() ? std::optional(*found) : std::nullopt;
 }
 
-std::vector<CrashReport> CrashLedger::report() const
+CrashEvidence CrashLedger::report() const
 {
-    std::vector<std::pair<TimePoint, CrashReport>> own;
-    for (const auto &[print, suspect] : this->suspects) {
-        if (!suspect.ownSites.empty()) {
-            own.push_back({suspect.lastCrashAt, {print, suspect.ownSites}});
+    CrashEvidence evidence;
+    for (const auto &[site, crash] : this->crashes) {
+        if (!crash.ownSuspects.empty() && !this->isRefuted(crash)) {
+            evidence.crashes.push_back({.site = site, .at = crash.at, .suspects = crash.ownSuspects});
         }
     }
-    std::sort(own.begin(), own.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
-    std::vector<CrashReport> reports;
-    for (auto &[at, report] : own) {
-        if (reports.size() >= this->limits.maxReported) {
+    std::sort(evidence.crashes.begin(), evidence.crashes.end(),
+              [](const CrashReport &a, const CrashReport &b) { return a.at > b.at; });
+    if (evidence.crashes.size() > this->limits.maxReported) {
+        evidence.crashes.resize(this->limits.maxReported);
+    }
+    for (const auto &[print, known] : this->answers) {
+        if (known.isOwn) {
+            evidence.cleared.push_back({print, known.published});
+        }
+    }
+    return evidence;
+}
+
+bool CrashLedger::isRefuted(const Crash &crash) const
+{
+    return crash.aliveAt > crash.at + this->limits.lifeMargin;
+}
+
+bool CrashLedger::accuses(const Crash &crash, const Fingerprint &print, bool publishedOnly) const
+{
+    if (this->isRefuted(crash) || !crash.suspects.contains(print)) {
+        return false;
+    }
+    const auto found = this->answers.find(print);
+    return found == this->answers.end() || crash.at >= (publishedOnly ? found->second.published : found->second.known);
+}
+
+std::size_t CrashLedger::crashesOf(const Fingerprint &print, bool publishedOnly) const
+{
+    return static_cast<std::size_t>(std::count_if(this->crashes.begin(), this->crashes.end(), [&](const auto &entry) {
+        return this->accuses(entry.second, print, publishedOnly);
+    }));
+}
+
+void CrashLedger::update(TimePoint now)
+{
+    struct Accusation
+    {
+        std::set<std::string> sites;
+        unsigned depth = 0;
+    };
+    std::map<Fingerprint, Accusation> accused;
+    for (const auto &[site, crash] : this->crashes) {
+        for (const auto &[print, depth] : crash.suspects) {
+            if (this->accuses(crash, print, false)) {
+                accused[print].sites.insert(site);
+                accused[print].depth = depth;
+            }
+        }
+    }
+    std::map<Fingerprint, std::set<std::string>> found;
+    while (!accused.empty()) {
+        const auto worst = std::max_element(accused.begin(), accused.end(), [](const auto &a, const auto &b) {
+            return std::pair(a.second.sites.size(), a.second.depth) < std::pair(b.second.sites.size(), b.second.depth);
+        });
+        if (worst->second.sites.size() < this->limits.crashesToBlock) {
             break;
         }
-        reports.push_back(std::move(report));
+        const std::set<std::string> explained = worst->second.sites;
+        found[worst->first] = explained;
+        accused.erase(worst);
+        for (auto &[print, accusation] : accused) {
+            std::erase_if(accusation.sites, [&](const std::string &site) { return explained.contains(site); });
+        }
+    }
+    for (const auto &[print, sites] : found) {
+        if (!this->blocked.contains(print)) {
+            this->changes.push_back({print, true, sites, now - this->newestOf(sites)});
+        }
+    }
+    for (const auto &[print, sites] : this->blocked) {
+        if (!found.contains(print)) {
+            this->changes.push_back({print, false, sites, Milliseconds(0)});
+        }
     }
-    return reports;
+    this->blocked = std::move(found);
 }
 
 } // namespace parsleyvane
--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -63,12 +63,37 @@
     return version;
 }
 
+TimePoint readTime(const Json &json)
+{
+    return TimePoint(Milliseconds(json.get<std::int64_t>()));
+}
+
+Json crashJson(const CrashReport &crash)
+{
+    Json suspects = Json::object();
+    for (const auto &[print, depth] : crash.suspects) {
+        suspects[print.str()] = depth;
+    }
+    return Json{{"site", crash.site}, {"at", crash.at.time_since_epoch().count()}, {"suspects", std::move(suspects)}};
+}
+
+CrashReport readCrash(const Json &json)
+{
+    CrashReport crash{.site = json.at("site").get<std::string>(), .at = readTime(json.at("at"))};
+    for (const auto &[print, depth] : json.at("suspects").items()) {
+        crash.suspects[Fingerprint(print)] = depth.get<unsigned>();
+    }
+    return crash;
+}
+
 FleetReport readReport(const Json &json)
 {
     FleetReport report;
     for (const Json &crash : json.at("crashes")) {
-        report.crashes.push_back(
-            {Fingerprint(crash.at("print").get<std::string>()), crash.at("sites").get<std::set<std::string>>()});
+        report.crashes.crashes.push_back(readCrash(crash));
+    }
+    for (const Json &cleared : json.at("cleared")) {
+        report.crashes.cleared.push_back({Fingerprint(cleared.at(0).get<std::string>()), readTime(cleared.at(1))});
     }
     for (const Json &version : json.at("versions")) {
         report.versions.push_back(readVersion(version));
@@ -80,9 +105,12 @@
 
 std::string serialise(const FleetReport &report)
 {
-    Json json{{"crashes", Json::array()}, {"versions", Json::array()}};
-    for (const CrashReport &crash : report.crashes) {
-        json["crashes"].push_back(Json{{"print", crash.print.str()}, {"sites", crash.sites}});
+    Json json{{"crashes", Json::array()}, {"cleared", Json::array()}, {"versions", Json::array()}};
+    for (const CrashReport &crash : report.crashes.crashes) {
+        json["crashes"].push_back(crashJson(crash));
+    }
+    for (const SuspectCleared &cleared : report.crashes.cleared) {
+        json["cleared"].push_back(Json::array({cleared.print.str(), cleared.at.time_since_epoch().count()}));
     }
     for (const VersionReport &version : report.versions) {
         json["versions"].push_back(versionJson(version));
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -10,6 +10,11 @@
     return a.id == b.id && a.startedAtMs == b.startedAtMs && a.address == b.address;
 }
 
+std::string processName(const UpstreamEntry &entry)
+{
+    return entry.id.str() + "@" + std::to_string(entry.startedAtMs);
+}
+
 UpstreamList::UpstreamList(UpstreamListLimits limits)
     : limits(limits)
 {
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -299,7 +299,7 @@
     const TimePoint now = bootClockNow();
     for (const TableRow &row : snapshot.rows) {
         const InstanceId from(rowName(row.key));
-        if (from == this->self) {
+        if (from == this->self && this->isOwnReportKnown) {
             continue;
         }
         LastReason reason;
@@ -308,7 +308,13 @@
             this->context.log.line("report_unreadable", {{"row", row.key}, {"detail", reason.failure().detail}});
             continue;
         }
-        this->context.fleetView.crashes.merge(report->crashes, now);
+        const CrashEvidence crashes = shifted(report->crashes, -this->storeClockOffset);
+        if (from == this->self) {
+            this->context.fleetView.crashes.restore(crashes, now);
+            this->isOwnReportKnown = true;
+            continue;
+        }
+        this->context.fleetView.crashes.merge(crashes, now);
         for (const VersionReport &version : report->versions) {
             shiftOf(this->context, version.service).merge(from, version);
             this->logEvidence(from, version);
@@ -316,6 +322,19 @@
     }
 }
 
+void FleetSync::logBlocks()
+{
+    for (const BlockChange &change : this->context.fleetView.crashes.takeChanges()) {
+        std::string sites;
+        for (const std::string &site : change.sites) {
+            sites.append(sites.empty() ? "" : ",").append(site);
+        }
+        this->context.metrics.countEvent(change.isBlocked ? "suspect_blocked" : "suspect_unblocked");
+        this->context.log.line(change.isBlocked ? "suspect_blocked" : "suspect_unblocked",
+                               {{"suspect", change.print.str()}, {"crashes", sites}, {"age", change.age.count()}});
+    }
+}
+
 void FleetSync::logEvidence(const InstanceId &from, const VersionReport &version)
 {
     for (const auto &[route, answers] : version.routes) {
@@ -355,12 +374,15 @@
         if (current == this->published) {
             continue;
         }
+        FleetReport onStoreClock = current;
+        onStoreClock.crashes = shifted(current.crashes, this->storeClockOffset);
         Transaction transaction;
         transaction.puts.push_back(
-            {this->context.platform.rowKey(StoreTable::Fleet, this->self.str()), serialise(current)});
+            {this->context.platform.rowKey(StoreTable::Fleet, this->self.str()), serialise(onStoreClock)});
         const TransactionOutcome outcome = co_await this->context.platform.transact(std::move(transaction));
         if (std::holds_alternative<TransactionCommitted>(outcome)) {
             this->published = current;
+            this->isOwnReportKnown = true;
         } else {
             this->context.metrics.countEvent("report_not_written");
         }
@@ -377,6 +399,7 @@
             this->context.log.line("upstream", {{"change", id.str() + " gone after its lapse"}});
         }
         this->context.fleetView.crashes.expire(now);
+        this->logBlocks();
         this->context.pool.expire(now);
         for (auto &[service, shift] : this->context.fleetView.shifts) {
             shift.expire(now);
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -227,7 +227,7 @@
             if (this->escalateToLargerModel(answer)) {
                 co_return AttemptResult::PoorAnswer;
             }
-            co_return co_await this->readStream(connection);
+            co_return co_await this->readStream(target, connection);
         }
         co_return co_await this->readWhole(connection, answer);
     }
@@ -277,7 +277,7 @@
     co_return whole ? AttemptResult::Delivered : AttemptResult::ClientDisconnected;
 }
 
-asio::awaitable<AttemptResult> ForwardedRequest::readStream(HttpCall &connection)
+asio::awaitable<AttemptResult> ForwardedRequest::readStream(const UpstreamEntry &target, HttpCall &connection)
 {
     LastReason reason;
     EventSplitter splitter;
@@ -292,7 +292,7 @@
             break;
         }
         splitter.feed(*piece);
-        if (const auto ended = co_await this->forwardEvents(connection, splitter)) {
+        if (const auto ended = co_await this->forwardEvents(target, connection, splitter)) {
             co_return *ended;
         }
         if (splitter.isEventTooLong()) {
@@ -321,8 +321,8 @@
     co_return whole ? AttemptResult::Delivered : AttemptResult::ClientDisconnected;
 }
 
-asio::awaitable<std::optional<AttemptResult>> ForwardedRequest::forwardEvents(HttpCall &connection,
-                                                                              EventSplitter &splitter)
+asio::awaitable<std::optional<AttemptResult>>
+ForwardedRequest::forwardEvents(const UpstreamEntry &target, HttpCall &connection, EventSplitter &splitter)
 {
     std::string out;
     while (const auto event = splitter.next()) {
@@ -345,6 +345,9 @@
         this->firstEventAt = bootClockNow();
         this->updateLoadLevel(this->firstEventAt - this->sentAt);
         this->recordTimeToFirstEvent(this->firstEventAt);
+        this->recordSurvival(target);
+    } else {
+        this->context.fleetView.crashes.onAlive(processName(target), bootClockNow());
     }
     this->recordEventLatency();
     bool passed = false;
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -22,7 +22,9 @@
     switch (result) {
     case AttemptResult::Delivered:
         upstreams.recordOutcome(target, UpstreamOutcome::Answered, now);
-        this->context.fleetView.crashes.onAnswered(this->fingerprint);
+        if (this->events == 0) {
+            this->recordSurvival(target);
+        }
         break;
     case AttemptResult::Unreachable:
         upstreams.recordOutcome(target, UpstreamOutcome::Unreachable, now);
@@ -33,11 +35,7 @@
     case AttemptResult::Lost:
         upstreams.recordOutcome(target, UpstreamOutcome::Lost, now);
         if (this->events == 0) {
-            this->context.fleetView.crashes.onLost(this->fingerprint,
-                                                   target.id.str() + "@" + std::to_string(target.startedAtMs), now);
-            if (this->context.evidenceChanged) {
-                this->context.evidenceChanged();
-            }
+            this->recordCrash(target);
         }
         break;
     case AttemptResult::Silent:
@@ -57,6 +55,28 @@
     this->recordVersionEvidence(result);
 }
 
+void ForwardedRequest::recordCrash(const UpstreamEntry &target)
+{
+    this->context.fleetView.crashes.onLost(this->suspects, processName(target), bootClockNow());
+    this->context.metrics.countEvent("lost_before_first_event");
+    this->context.log.line("lost_before_first_event",
+                           {{"id", this->facts.id.str()},
+                            {"upstream", processName(target)},
+                            {"prompt", this->promptText()},
+                            {"ms", (bootClockNow() - this->sentAt).count()}});
+    if (this->context.evidenceChanged) {
+        this->context.evidenceChanged();
+    }
+}
+
+void ForwardedRequest::recordSurvival(const UpstreamEntry &target)
+{
+    const bool isNews = this->context.fleetView.crashes.onAnswered(this->suspects, processName(target), bootClockNow());
+    if (isNews && this->context.evidenceChanged) {
+        this->context.evidenceChanged();
+    }
+}
+
 void ForwardedRequest::updateLoadLevel(Milliseconds waited)
 {
     constexpr double newestWeight = 0.1;
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -25,7 +25,7 @@
 constexpr unsigned maxTotalAttempts = 8;
 /// Interval at which a silent upstream is checked for whether another one may take over.
 constexpr Milliseconds silenceCheckInterval{250};
-constexpr const char *quarantineDetail = "the request crashed the upstreams that ran it";
+constexpr const char *quarantineDetail = "the request or a part of its prompt crashed the upstreams that ran it";
 
 std::string secondsText(Milliseconds duration)
 {
@@ -88,8 +88,11 @@
     constexpr double range = 18446744073709551616.0;
     this->shareSample = static_cast<double>(rendezvousWeight("request", this->facts.id.str())) / range;
     const HttpRequest &request = this->exchange.request();
-    const std::uint64_t weight = rendezvousWeight(this->facts.apiKey + "\n" + this->facts.path, request.body());
-    this->fingerprint = Fingerprint(std::to_string(weight));
+    std::vector<std::string_view> sharedParts;
+    for (std::size_t part = 0; part + 1 < this->facts.prompt.size(); ++part) {
+        sharedParts.push_back(this->facts.prompt.at(part).id);
+    }
+    this->suspects = crashSuspects(sharedParts, this->facts.apiKey + "\n" + this->facts.path, request.body());
     this->lastEvent = this->facts.lastEvent;
     auto found = this->resolveNow(reason);
     if (!found) {
@@ -127,8 +130,9 @@
                             .detail = "the instance is stopping",
                             .retryAfter = drainingRetryAfter});
     }
-    if (fleetView.crashes.isBlocked(this->fingerprint)) {
-        return reason.fail({.id = ErrorId::Quarantined, .step = Step::Admit, .detail = quarantineDetail});
+    if (const auto blocked = fleetView.crashes.blockedOf(this->suspects)) {
+        return reason.fail(
+            {.id = ErrorId::Quarantined, .step = Step::Admit, .peer = blocked->str(), .detail = quarantineDetail});
     }
     return found;
 }
@@ -198,7 +202,7 @@
     if (this->dispatches >= maxDispatches || this->attempts >= maxTotalAttempts) {
         return "tries";
     }
-    if (this->combinedRunState != RunState::NotRun && this->context.fleetView.crashes.isBlocked(this->fingerprint)) {
+    if (this->combinedRunState != RunState::NotRun && this->context.fleetView.crashes.blockedOf(this->suspects)) {
         return errorName(ErrorId::Quarantined);
     }
     return {};
@@ -322,6 +326,9 @@
     }
     std::string body = failureJson(failure);
     this->attemptLog.append(" ").append(failure.detail);
+    if (failure.id == ErrorId::Quarantined) {
+        this->attemptLog.append(" ").append(failure.peer);
+    }
     co_await this->exchange.relay(status, std::move(head), std::move(body));
     this->logAnswer(status, errorName(failure.id));
 }
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -1,6 +1,5 @@
 #include "suite.h"
 
-#include "parsleyvane/ingress/crashledger.h"
 #include "parsleyvane/ingress/eventsplitter.h"
 #include "parsleyvane/ingress/fleetreport.h"
 #include "parsleyvane/ingress/repeatbudget.h"
@@ -58,10 +57,6 @@
     CPPUNIT_TEST(aPrefixHasMoreReplicasInALargerFleet);
     CPPUNIT_TEST(anOverloadedReplicaIsSkipped);
     CPPUNIT_TEST(retriesStayWithinTheBudgetInEveryWindow);
-    CPPUNIT_TEST(threeCrashesBlockARequest);
-    CPPUNIT_TEST(twoCrashesOfOneProcessCountOnce);
-    CPPUNIT_TEST(anAnswerClearsARequest);
-    CPPUNIT_TEST(crashesReportedByOtherInstancesCount);
     CPPUNIT_TEST(onlyCompleteEventsAreReturned);
     CPPUNIT_TEST(eventsDoNotDependOnHowTheInputIsSplit);
     CPPUNIT_TEST(lowConfidenceEscalatesToTheLargestModel);
@@ -291,51 +286,6 @@
         });
     }
 
-    void threeCrashesBlockARequest()
-    {
-        CrashLedger ledger;
-        const Fingerprint print("p");
-        ledger.onLost(print, "a@1", start);
-        ledger.onLost(print, "b@1", start);
-        CPPUNIT_ASSERT(!ledger.isBlocked(print));
-        ledger.onLost(print, "c@1", start);
-        CPPUNIT_ASSERT(ledger.isBlocked(print));
-        CPPUNIT_ASSERT(!ledger.isBlocked(Fingerprint("q")));
-        ledger.expire(start + Milliseconds(200000));
-        CPPUNIT_ASSERT(!ledger.isBlocked(print));
-    }
-
-    void twoCrashesOfOneProcessCountOnce()
-    {
-        CrashLedger ledger;
-        for (const char *site : {"a@1", "a@1", "b@1", "b@1"}) {
-            ledger.onLost(Fingerprint("p"), site, start);
-        }
-        CPPUNIT_ASSERT(!ledger.isBlocked(Fingerprint("p")));
-    }
-
-    void anAnswerClearsARequest()
-    {
-        CrashLedger ledger;
-        for (const char *site : {"a@1", "b@1", "c@1"}) {
-            ledger.onLost(Fingerprint("p"), site, start);
-        }
-        ledger.onAnswered(Fingerprint("p"));
-        CPPUNIT_ASSERT(!ledger.isBlocked(Fingerprint("p")));
-    }
-
-    void crashesReportedByOtherInstancesCount()
-    {
-        CrashLedger here;
-        CrashLedger there;
-        here.onLost(Fingerprint("p"), "a@1", start);
-        there.onLost(Fingerprint("p"), "b@1", start);
-        there.onLost(Fingerprint("p"), "c@1", start);
-        here.merge(there.report(), start);
-        CPPUNIT_ASSERT(here.isBlocked(Fingerprint("p")));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, here.report().front().sites.size());
-    }
-
     void onlyCompleteEventsAreReturned()
     {
         EventSplitter splitter;
@@ -410,7 +360,8 @@
     void reportsRoundTripThroughJson()
     {
         FleetReport report;
-        report.crashes.push_back({Fingerprint("p"), {"a@1", "b@2"}});
+        report.crashes.crashes.push_back({"a@1", start, {{Fingerprint("p"), 0}, {Fingerprint("q"), 1}}});
+        report.crashes.cleared.push_back({Fingerprint("q"), start});
         report.versions.push_back({ServiceName("s"),
                                    VersionName("v2"),
                                    {{RouteName("r"), {{7, 2}, {9, 1}}}},
@@ -423,8 +374,9 @@
 
     void malformedReportsAreRejected()
     {
-        for (const char *text :
-             {"", "{", "[]", "{\"crashes\":1,\"versions\":[]}", "{\"crashes\":[],\"versions\":[[]]}"}) {
+        for (const char *text : {"", "{", "[]", "{\"crashes\":1,\"cleared\":[],\"versions\":[]}",
+                                 "{\"crashes\":[],\"cleared\":[1],\"versions\":[]}",
+                                 "{\"crashes\":[],\"cleared\":[],\"versions\":[[]]}"}) {
             LastReason reason;
             CPPUNIT_ASSERT(!parseFleetReport(text, reason));
             CPPUNIT_ASSERT(reason.failure().id == ErrorId::BadPeerData);
--- a/tests/unit-net-fleetsync.cpp
+++ b/tests/unit-net-fleetsync.cpp
@@ -436,10 +436,10 @@
         auto &one = rig.add("one").context;
         auto &two = rig.add("two").context;
         for (const char *site : {"a@1", "b@1", "c@1"}) {
-            one.fleetView.crashes.onLost(Fingerprint("p"), site, bootClockNow());
+            one.fleetView.crashes.onLost({Fingerprint("p")}, site, bootClockNow());
         }
         one.evidenceChanged();
-        CPPUNIT_ASSERT(rig.runUntil([&]() { return two.fleetView.crashes.isBlocked(Fingerprint("p")); }));
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return two.fleetView.crashes.blockedOf({Fingerprint("p")}).has_value(); }));
     }
 };
 
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(anOrderThatArrivesBeforeTheFirstByteIsFollowed);
     CPPUNIT_TEST(aRollBackThatArrivesBeforeTheFirstByteIsFollowed);
     CPPUNIT_TEST(aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed);
+    CPPUNIT_TEST(requestsThatShareACrashingPartAreRefusedAfterThreeCrashes);
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenNoUpstreamIsLeft);
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenTheRequestIsQuarantinedMeanwhile);
     CPPUNIT_TEST(aSilentStreamIsNotAbandonedWhenTheRequestIsQuarantinedMeanwhile);
@@ -412,12 +413,37 @@
     /// Reports three crashes of the request with this path, on different upstreams.
     static void quarantine(ForwardRig &rig, const std::string &path)
     {
-        const Fingerprint print(std::to_string(rendezvousWeight("\n" + path, "hi")));
+        const CrashSuspects suspects = crashSuspects({}, "\n" + path, "hi");
         for (const char *site : {"a@1", "b@1", "c@1"}) {
-            rig.context.fleetView.crashes.onLost(print, site, bootClockNow());
+            rig.context.fleetView.crashes.onLost(suspects, site, bootClockNow());
         }
     }
 
+    void requestsThatShareACrashingPartAreRefusedAfterThreeCrashes()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Once, true);
+        for (const char *id : {"u", "v", "w", "x"}) {
+            rig.upstream(id, {{.answer = ""}});
+        }
+        const auto send = [&](int number) {
+            const std::string own = std::to_string(number);
+            return rig.exchange(clientRequest("/stream/" + own, "r-" + own,
+                                              "X-Parsleyvane-Prompt-Prefix: f1:9,dead:5,aa" + own + ":2\r\n"));
+        };
+        for (int number = 1; number <= 3; ++number) {
+            CPPUNIT_ASSERT_EQUAL(502, statusOf(send(number)));
+        }
+        for (int number = 4; number <= 6; ++number) {
+            CPPUNIT_ASSERT_EQUAL(503, statusOf(send(number)));
+        }
+        std::size_t dispatches = 0;
+        for (const auto &upstream : rig.upstreams) {
+            dispatches += upstream->requests.size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, dispatches);
+    }
+
     void aPoorAnswerIsRelayedWhenNoUpstreamIsLeft()
     {
         ForwardRig rig;
