Keep to the limits that upstreams announce, all instances together

Cause: no code looked at the limit; and what one instance alone could do is wrong by as many times as there are instances. Class: a bound of the whole fleet that an instance applies by itself, or not at all. Now: instances publish the limits that they are told and their demand. Each attempt takes a token. What is over goes to other upstreams, no more in flight than their slots, else it is rejected at once, the least urgent first. TokenBucket serves the limits of accounts too.

--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -46,6 +46,8 @@
     // modifiers
     /// @brief Starts the reads. @param configured called when a configuration was read
     void start(std::function<void()> configured);
+    /// @brief Tells the others that this instance takes no more requests.
+    void leave();
     void setShiftLimits(const ShiftLimits &newLimits);
     /**
      * @brief Derives the read intervals from the deployment's bounds.
@@ -84,6 +86,8 @@
     void updateReachability(const Reader &reader, bool answers, const std::string &detail);
     void updateClockOffset(const TableSnapshot &snapshot);
     TimePoint localTime(Milliseconds storeTime) const;
+    Milliseconds storeTimeNow() const;
+    void mergeLimits(const std::map<InstanceId, LimitReport> &reports);
     void logBlocks();
     void logEvidence(const InstanceId &from, const VersionReport &version);
     FleetReport report() const;
@@ -97,6 +101,7 @@
     std::map<std::string, std::uint64_t> statusVersions; ///< row versions of the roll-out statuses, by key
     Milliseconds storeClockOffset{0}; ///< the store's steady clock minus this machine's
     bool isClockOffsetKnown = false;
+    Milliseconds latestStoreTime{0}; ///< of the store's latest answer
     FleetReport published;
     bool isOwnReportKnown = false; ///< what this instance published before a restart was read, or it has published
     bool publishing = false;
--- a/include/parsleyvane/forward/forwardcontext.h
+++ b/include/parsleyvane/forward/forwardcontext.h
@@ -13,6 +13,7 @@
 #include "parsleyvane/ingress/routetable.h"
 #include "parsleyvane/ingress/sizechoice.h"
 #include "parsleyvane/ingress/upstreamchoice.h"
+#include "parsleyvane/ingress/upstreamlimiter.h"
 #include "parsleyvane/ingress/upstreamlist.h"
 #include "parsleyvane/ingress/versionshift.h"
 #include "parsleyvane/net/metrics.h"
@@ -42,6 +43,7 @@
     TimePoint upstreamsReadAt{};
     std::map<ServiceName, VersionShift> shifts;
     CrashLedger crashes{CrashLimits()};
+    UpstreamLimiter upstreamLimiter{UpstreamLimiterLimits()};
 };
 
 /// @brief State shared by the requests; used only on the single thread of the I/O context.
--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -82,6 +82,7 @@
     bool payForRetry();
     Milliseconds waitOrHandOver(const UpstreamEntry &silent);
     std::optional<Target> chooseTarget(UpstreamRequirements requirements) const;
+    std::optional<Target> takeTarget();
     boost::asio::awaitable<AttemptResult> attempt();
     boost::asio::awaitable<AttemptResult> attemptAt(const UpstreamEntry &target, HttpCall &connection);
     boost::asio::awaitable<AttemptResult> readAnswer(const UpstreamEntry &target, HttpCall &connection);
@@ -113,6 +114,7 @@
     std::string affinityKey() const;
     std::string promptText() const;
     int rank() const;
+    int limitRank() const;
     const RouteRule &route() const
     {
         return *this->resolution->route;
--- a/include/parsleyvane/forward/platformport.h
+++ b/include/parsleyvane/forward/platformport.h
@@ -7,6 +7,7 @@
 #include "parsleyvane/ingress/routetable.h"
 #include "parsleyvane/ingress/upstreamlist.h"
 #include "parsleyvane/ingress/versionshift.h"
+#include "parsleyvane/limits/tokenbucket.h"
 #include "parsleyvane/net/httpclient.h"
 #include "parsleyvane/store/transaction.h"
 
--- a/include/parsleyvane/ingress/fleetreport.h
+++ b/include/parsleyvane/ingress/fleetreport.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "parsleyvane/ingress/crashledger.h"
+#include "parsleyvane/ingress/upstreamlimiter.h"
 #include "parsleyvane/ingress/versionshift.h"
 
 #include <optional>
@@ -18,6 +19,7 @@
 {
     CrashEvidence crashes;
     std::vector<VersionReport> versions; ///< for roll-outs with evidence against the new version
+    LimitReport limits;
 
     friend bool operator==(const FleetReport &, const FleetReport &) = default;
 };
--- a/include/parsleyvane/ingress/upstreamchoice.h
+++ b/include/parsleyvane/ingress/upstreamchoice.h
@@ -30,6 +30,10 @@
     std::int64_t affinityTokens = 0;
     /// @brief Whether a version may serve the request; empty allows all.
     std::function<bool(const VersionName &)> versionAllowed;
+    /// @brief Whether the limits of the service's upstreams permit the request there; empty allows all.
+    std::function<bool(const RegisteredUpstream &)> limitsPermit;
+    /// @brief Upstreams that are preferred to equally healthy ones; empty for none.
+    std::function<bool(const RegisteredUpstream &)> prefers;
 };
 
 /// @brief Tunable values of the choice.
--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -37,14 +37,6 @@
 /// @brief Names the entry's process: its id and its start.
 std::string processName(const UpstreamEntry &entry);
 
-/// @brief A rate of requests.
-struct RequestRate
-{
-    double perSecond = 0;
-
-    friend bool operator==(const RequestRate &, const RequestRate &) = default;
-};
-
 /// @brief Result of an attempt, as far as it is evidence for or against the upstream.
 enum class UpstreamOutcome {
     Answered, ///< a complete answer
@@ -65,7 +57,6 @@
     Milliseconds backoff{0}; ///< length of the latest avoidance period
     double failureRate = 0; ///< exponential moving average over its attempts
     bool reportedDraining = false; ///< reported by the upstream itself, before its entry was updated
-    std::optional<RequestRate> requestRate; ///< the limit that its latest answer to this instance announced
     std::optional<TimePoint> missingSince; ///< when its entry lapsed, during a store outage or soon after one
 };
 
@@ -113,8 +104,6 @@
     /// @brief Updates the upstream's failure rate, backoff and availability from the result of an attempt; one at a
     /// process that was replaced meanwhile is ignored.
     void recordOutcome(const UpstreamEntry &target, UpstreamOutcome verdict, TimePoint now);
-    /// @brief Records the limit that an answer announced, or its absence. @return whether it changed
-    bool recordRequestRate(const UpstreamEntry &target, std::optional<RequestRate> rate);
 
     // observers
     const RegisteredUpstream *find(const UpstreamId &id) const;
--- a/include/parsleyvane/limits/accountlimiter.h
+++ b/include/parsleyvane/limits/accountlimiter.h
@@ -6,6 +6,7 @@
 
 #include "parsleyvane/config/configuration.h"
 #include "parsleyvane/core/failure.h"
+#include "parsleyvane/limits/tokenbucket.h"
 
 #include <map>
 #include <optional>
@@ -33,14 +34,12 @@
     void release(const AccountId &account);
 
 private:
-    struct Bucket
+    struct Usage
     {
-        double tokens = 0;
-        TimePoint refilledAt{};
+        TokenBucket bucket;
         unsigned inFlight = 0;
-        bool isNew = true;
     };
-    std::map<AccountId, Bucket> buckets;
+    std::map<AccountId, Usage> accounts;
 };
 
 } // namespace parsleyvane
--- a/src/core/accountlimiter.cpp
+++ b/src/core/accountlimiter.cpp
@@ -1,14 +1,11 @@
 #include "parsleyvane/limits/accountlimiter.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace parsleyvane {
 
 namespace {
 
-constexpr double millisecondsPerSecond = 1000;
-
 Failure rateLimited(std::string detail, Milliseconds retryAfter)
 {
     return {.id = ErrorId::RateLimited, .step = Step::Admit, .detail = std::move(detail), .retryAfter = retryAfter};
@@ -18,37 +15,31 @@
 
 std::optional<Failure> AccountLimiter::tryAcquire(const Account &account, std::size_t liveInstances, TimePoint now)
 {
-    Bucket &bucket = this->buckets[account.id];
+    const auto [found, isNew] = this->accounts.try_emplace(account.id);
+    Usage &usage = found->second;
     const auto instances = static_cast<double>(std::max<std::size_t>(liveInstances, 1));
-    const double rate = account.limits.requestsPerSecond / instances;
-    const double burst = std::max(account.limits.burst / instances, 1.0);
-    if (bucket.isNew) {
-        bucket.isNew = false;
-        bucket.tokens = burst;
-    } else {
-        const auto elapsed = static_cast<double>((now - bucket.refilledAt).count()) / millisecondsPerSecond;
-        bucket.tokens = std::min(burst, bucket.tokens + elapsed * rate);
+    const RequestRate rate{account.limits.requestsPerSecond / instances};
+    usage.bucket.configure(rate, std::max(account.limits.burst / instances, 1.0), now);
+    if (isNew) {
+        usage.bucket.fill();
     }
-    bucket.refilledAt = now;
-    if (bucket.inFlight >= account.limits.inFlight) {
-        constexpr Milliseconds retryAfter{1000};
-        return rateLimited("the client account's limit of requests in flight is reached", retryAfter);
+    constexpr Milliseconds defaultRetryAfter{1000};
+    if (usage.inFlight >= account.limits.inFlight) {
+        return rateLimited("the client account's limit of requests in flight is reached", defaultRetryAfter);
     }
-    if (bucket.tokens < 1) {
-        const double wait = rate > 0 ? (1 - bucket.tokens) / rate * millisecondsPerSecond : millisecondsPerSecond;
+    if (!usage.bucket.take(now)) {
         return rateLimited("the client account's request rate is exceeded",
-                           Milliseconds(static_cast<std::int64_t>(std::ceil(wait))));
+                           usage.bucket.untilNext(now).value_or(defaultRetryAfter));
     }
-    bucket.tokens -= 1;
-    ++bucket.inFlight;
+    ++usage.inFlight;
     return std::nullopt;
 }
 
 void AccountLimiter::release(const AccountId &account)
 {
-    Bucket &bucket = this->buckets[account];
-    if (bucket.inFlight > 0) {
-        --bucket.inFlight;
+    Usage &usage = this->accounts[account];
+    if (usage.inFlight > 0) {
+        --usage.inFlight;
     }
 }
 
--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -86,6 +86,40 @@
     return crash;
 }
 
+Json limitsJson(const LimitReport &limits)
+{
+    Json notices = Json::array();
+    for (const LimitNotice &notice : limits.notices) {
+        Json rate = notice.rate ? Json(notice.rate->perSecond) : Json(nullptr);
+        notices.push_back(
+            Json::array({notice.process, notice.service.str(), std::move(rate), notice.at.time_since_epoch().count()}));
+    }
+    Json demand = Json::object();
+    for (const auto &[service, rate] : limits.demand) {
+        demand[service.str()] = rate.perSecond;
+    }
+    return Json{{"notices", std::move(notices)}, {"demand", std::move(demand)}, {"period", limits.period}};
+}
+
+LimitReport readLimits(const Json &json)
+{
+    LimitReport limits{.period = json.at("period").get<std::int64_t>()};
+    for (const Json &notice : json.at("notices")) {
+        std::optional<RequestRate> rate;
+        if (!notice.at(2).is_null()) {
+            rate = RequestRate{notice.at(2).get<double>()};
+        }
+        limits.notices.push_back({.process = notice.at(0).get<std::string>(),
+                                  .service = ServiceName(notice.at(1).get<std::string>()),
+                                  .rate = rate,
+                                  .at = readTime(notice.at(3))});
+    }
+    for (const auto &[service, rate] : json.at("demand").items()) {
+        limits.demand[ServiceName(service)] = RequestRate{rate.get<double>()};
+    }
+    return limits;
+}
+
 FleetReport readReport(const Json &json)
 {
     FleetReport report;
@@ -98,6 +132,10 @@
     for (const Json &version : json.at("versions")) {
         report.versions.push_back(readVersion(version));
     }
+    // Reports of earlier versions have no limits.
+    if (json.contains("limits")) {
+        report.limits = readLimits(json.at("limits"));
+    }
     return report;
 }
 
@@ -115,6 +153,9 @@
     for (const VersionReport &version : report.versions) {
         json["versions"].push_back(versionJson(version));
     }
+    if (report.limits != LimitReport()) {
+        json["limits"] = limitsJson(report.limits);
+    }
     return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/src/core/ingress/upstreamchoice.cpp
+++ b/src/core/ingress/upstreamchoice.cpp
@@ -14,6 +14,7 @@
     const RegisteredUpstream *upstream;
     bool tried;
     bool avoided;
+    bool preferred;
     double work; ///< attempts of this instance in flight, per slot
     std::uint64_t weight = 0;
 };
@@ -27,6 +28,9 @@
         if (!isVersionAllowed || (question.excluded && isSameProcess(upstream.entry, *question.excluded))) {
             return;
         }
+        if (question.limitsPermit && !question.limitsPermit(upstream)) {
+            return;
+        }
         const bool avoided = now < upstream.avoidUntil || upstream.failureRate > limits.unhealthyFailureRate;
         if (avoided && question.onlyHealthy) {
             return;
@@ -35,18 +39,19 @@
         found.push_back({.upstream = &upstream,
                          .tried = question.tried.contains(upstream.entry.id),
                          .avoided = avoided,
+                         .preferred = question.prefers && question.prefers(upstream),
                          .work = upstream.running / slots});
     });
     return found;
 }
 
-/// Keeps the candidates of the best tier: untried before tried, then healthy before avoided.
+/// Keeps the candidates of the best tier: untried before tried, then healthy before avoided, then the preferred ones.
 void keepBestTier(std::vector<Candidate> &found)
 {
     const auto tier = [](const Candidate &candidate) {
-        return (candidate.tried ? 2 : 0) + (candidate.avoided ? 1 : 0);
+        return (candidate.tried ? 4 : 0) + (candidate.avoided ? 2 : 0) + (candidate.preferred ? 0 : 1);
     };
-    int best = 4;
+    int best = 8;
     for (const Candidate &candidate : found) {
         best = std::min(best, tier(candidate));
     }
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <set>
-#include <utility>
 
 namespace parsleyvane {
 
@@ -36,7 +35,6 @@
         upstream.avoidUntil = TimePoint();
         upstream.backoff = Milliseconds(0);
         upstream.failureRate = 0;
-        upstream.requestRate.reset();
     }
     if (entry.draining != upstream.entry.draining && !entry.draining) {
         upstream.reportedDraining = false;
@@ -194,12 +192,6 @@
     }
 }
 
-bool UpstreamList::recordRequestRate(const UpstreamEntry &target, std::optional<RequestRate> rate)
-{
-    RegisteredUpstream *upstream = this->findProcess(target);
-    return upstream != nullptr && std::exchange(upstream->requestRate, rate) != rate;
-}
-
 const RegisteredUpstream *UpstreamList::find(const UpstreamId &id) const
 {
     const auto found = this->upstreams.find(id);
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -39,6 +39,7 @@
     , self(std::move(self))
     , limits(limits)
 {
+    this->context.fleetView.upstreamLimiter.setSelf(this->self);
 }
 
 void FleetSync::setShiftLimits(const ShiftLimits &newLimits)
@@ -175,6 +176,15 @@
     // Network latency only lowers the measured offset, so the largest one is the most accurate.
     this->storeClockOffset = this->isClockOffsetKnown ? std::max(this->storeClockOffset, offset) : offset;
     this->isClockOffsetKnown = true;
+    this->latestStoreTime = std::max(this->latestStoreTime, snapshot.storeTime);
+}
+
+Milliseconds FleetSync::storeTimeNow() const
+{
+    // During an outage the store's time stands still, so that no instance takes the others for gone.
+    constexpr Milliseconds maxExtrapolation{2000};
+    const Milliseconds extrapolated = bootClockNow().time_since_epoch() + this->storeClockOffset;
+    return std::min(extrapolated, this->latestStoreTime + maxExtrapolation);
 }
 
 TimePoint FleetSync::localTime(Milliseconds storeTime) const
@@ -297,6 +307,7 @@
 void FleetSync::mergeReports(const TableSnapshot &snapshot)
 {
     const TimePoint now = bootClockNow();
+    std::map<InstanceId, LimitReport> limitReports;
     for (const TableRow &row : snapshot.rows) {
         const InstanceId from(rowName(row.key));
         if (from == this->self && this->isOwnReportKnown) {
@@ -308,6 +319,7 @@
             this->context.log.line("report_unreadable", {{"row", row.key}, {"detail", reason.failure().detail}});
             continue;
         }
+        limitReports[from] = shifted(report->limits, -this->storeClockOffset);
         const CrashEvidence crashes = shifted(report->crashes, -this->storeClockOffset);
         if (from == this->self) {
             this->context.fleetView.crashes.restore(crashes, now);
@@ -320,6 +332,35 @@
             this->logEvidence(from, version);
         }
     }
+    this->mergeLimits(limitReports);
+}
+
+void FleetSync::mergeLimits(const std::map<InstanceId, LimitReport> &reports)
+{
+    UpstreamLimiter &limiter = this->context.fleetView.upstreamLimiter;
+    const TimePoint now = bootClockNow();
+    const std::vector<LimitNotice> changed = limiter.merge(reports, now);
+    for (const LimitNotice &notice : changed) {
+        this->context.log.line(
+            "upstream_limit",
+            {{"from", "reports"},
+             {"upstream", notice.process},
+             {"per_second", notice.rate ? std::to_string(notice.rate->perSecond) : std::string("none")},
+             {"members", static_cast<std::int64_t>(limiter.members())},
+             {"age", (now - notice.at).count()}});
+    }
+    if (!changed.empty() && this->context.evidenceChanged) {
+        // The demand that this instance reports from now on.
+        this->context.evidenceChanged();
+    }
+}
+
+void FleetSync::leave()
+{
+    this->context.fleetView.upstreamLimiter.leave(bootClockNow());
+    if (this->context.evidenceChanged) {
+        this->context.evidenceChanged();
+    }
 }
 
 void FleetSync::logBlocks()
@@ -356,7 +397,8 @@
 
 FleetReport FleetSync::report() const
 {
-    FleetReport own{.crashes = this->context.fleetView.crashes.report()};
+    FleetReport own{.crashes = this->context.fleetView.crashes.report(),
+                    .limits = this->context.fleetView.upstreamLimiter.report()};
     for (const auto &[service, shift] : this->context.fleetView.shifts) {
         if (shift.hasEvidence()) {
             own.versions.push_back(shift.report());
@@ -376,6 +418,7 @@
         }
         FleetReport onStoreClock = current;
         onStoreClock.crashes = shifted(current.crashes, this->storeClockOffset);
+        onStoreClock.limits = shifted(current.limits, this->storeClockOffset);
         Transaction transaction;
         transaction.puts.push_back(
             {this->context.platform.rowKey(StoreTable::Fleet, this->self.str()), serialise(onStoreClock)});
@@ -400,6 +443,9 @@
         }
         this->context.fleetView.crashes.expire(now);
         this->logBlocks();
+        if (this->context.fleetView.upstreamLimiter.update(this->storeTimeNow(), now)) {
+            this->context.evidenceChanged();
+        }
         this->context.pool.expire(now);
         for (auto &[service, shift] : this->context.fleetView.shifts) {
             shift.expire(now);
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -90,11 +90,25 @@
 
 } // namespace
 
+std::optional<ForwardedRequest::Target> ForwardedRequest::takeTarget()
+{
+    UpstreamLimiter &limiter = this->context.fleetView.upstreamLimiter;
+    auto target = std::exchange(this->nextTarget, std::nullopt);
+    if (!target || !limiter.take(target->entry, bootClockNow())) {
+        target = this->chooseTarget({});
+        if (target && !limiter.take(target->entry, bootClockNow())) {
+            target.reset();
+        }
+    }
+    return target;
+}
+
 asio::awaitable<AttemptResult> ForwardedRequest::attempt()
 {
-    const auto chosen = this->nextTarget ? std::exchange(this->nextTarget, std::nullopt) : this->chooseTarget({});
+    const auto chosen = this->takeTarget();
     if (!chosen) {
-        this->attemptLog.append(" none");
+        const UpstreamLimiter &limiter = this->context.fleetView.upstreamLimiter;
+        this->attemptLog.append(limiter.isLimited(this->service()) ? " none:limits" : " none");
         co_return AttemptResult::NoUpstream;
     }
     this->usesCandidate = chosen->usesCandidate;
@@ -105,6 +119,7 @@
     LastReason reason;
     const auto endpoint = parseEndpoint(target.address, reason);
     const TimePoint startedAt = bootClockNow();
+    const unsigned dispatchesBefore = this->dispatches;
     ++this->attempts;
     AttemptResult result = AttemptResult::Unreachable;
     this->isConnectionReusable = false;
@@ -140,6 +155,9 @@
     if (this->clientDisconnected && result != AttemptResult::Delivered) {
         result = AttemptResult::ClientDisconnected;
     }
+    if (this->dispatches == dispatchesBefore) {
+        this->context.fleetView.upstreamLimiter.giveBack(target);
+    }
     this->recordResult(target, result);
     const auto took = (bootClockNow() - startedAt).count();
     this->attemptLog.append(":").append(resultName(result)).append(":").append(std::to_string(took)).append("ms");
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -79,14 +79,19 @@
 
 void ForwardedRequest::recordRequestRate(const UpstreamEntry &target, std::optional<RequestRate> rate)
 {
-    if (!this->context.fleetView.upstreams.recordRequestRate(target, rate)) {
+    UpstreamLimiter &limiter = this->context.fleetView.upstreamLimiter;
+    if (!limiter.onAnswer(target, rate, this->sentAt, bootClockNow())) {
         return;
     }
+    if (this->context.evidenceChanged) {
+        this->context.evidenceChanged();
+    }
     this->context.metrics.countEvent(rate ? "upstream_limit" : "upstream_limit_ended");
     this->context.log.line("upstream_limit",
                            {{"id", this->facts.id.str()},
                             {"upstream", processName(target)},
                             {"per_second", rate ? std::to_string(rate->perSecond) : std::string("none")},
+                            {"members", static_cast<std::int64_t>(limiter.members())},
                             {"ms", (bootClockNow() - this->sentAt).count()}});
 }
 
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -65,6 +65,7 @@
         co_return;
     }
     this->context.budget.onRequest(this->service(), this->arrivedAt);
+    this->context.fleetView.upstreamLimiter.onRequest(this->service(), this->facts.promptTokens, this->arrivedAt);
     this->exchange.onClientDisconnect([this]() {
         this->clientDisconnected = true;
         if (this->call != nullptr) {
@@ -261,14 +262,20 @@
     for (std::size_t part = 0; part + 1 < this->facts.prompt.size(); ++part) {
         requirements.affinityTokens += this->facts.prompt.at(part).tokens;
     }
+    const TokenClaim claim{
+        .service = this->service(), .rank = this->limitRank(), .promptTokens = this->facts.promptTokens};
+    const UpstreamList &upstreams = this->context.fleetView.upstreams;
+    const UpstreamLimiter &limiter = this->context.fleetView.upstreamLimiter;
+    requirements.limitsPermit = limiter.filter(upstreams, claim, now);
+    requirements.prefers = limiter.preference(upstreams, claim);
     requirements.versionAllowed = [&](const VersionName &version) {
         return shift.allows(version, usesCandidate);
     };
-    auto entry = chooseUpstream(this->context.fleetView.upstreams, requirements, now, this->context.random);
+    auto entry = chooseUpstream(upstreams, requirements, now, this->context.random);
     const bool mayChange = shift.state() != RolloutState::RolledBack && !shift.isBad();
     if (!entry && (usesCandidate || mayChange) && shift.state()) {
         usesCandidate = !usesCandidate;
-        entry = chooseUpstream(this->context.fleetView.upstreams, requirements, now, this->context.random);
+        entry = chooseUpstream(upstreams, requirements, now, this->context.random);
     }
     if (!entry) {
         return std::nullopt;
@@ -341,6 +348,15 @@
     return std::clamp(own, 0, lastRank);
 }
 
+int ForwardedRequest::limitRank() const
+{
+    // Some requests of each kind compete as the most urgent, so that none starves under a lasting limit.
+    constexpr double exemptFraction = 0.25;
+    constexpr double range = 18446744073709551616.0;
+    const double sample = static_cast<double>(rendezvousWeight("limit", this->facts.id.str())) / range;
+    return sample < exemptFraction ? 0 : this->rank();
+}
+
 bool ForwardedRequest::isRepeatable() const
 {
     return this->route().repeat != Repeatability::Once;
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -185,6 +185,9 @@
     if (target == "/metrics") {
         this->metrics.setGauge("in_flight", static_cast<double>(this->context.inFlight));
         this->metrics.setGauge("upstreams", static_cast<double>(this->context.fleetView.upstreams.size()));
+        const UpstreamLimiter &limiter = this->context.fleetView.upstreamLimiter;
+        this->metrics.setGauge("limited_upstreams", static_cast<double>(limiter.limitedUpstreams()));
+        this->metrics.setGauge("limit_members", static_cast<double>(limiter.members()));
         this->metrics.setGauge("log_lines_dropped", static_cast<double>(this->log.dropped()));
         std::string body = this->metrics.text();
         co_await exchange.respond(statusOk, textType, std::move(body));
@@ -222,6 +225,7 @@
 void IngressInstance::refuseRequests()
 {
     this->context.phase = ForwardPhase::Finishing;
+    this->sync.leave();
     this->context.stopsAt = this->stopRequestedAt + std::max(this->settings.bounds.grace - stopMargin, lingerTime);
     this->log.line("stop", {{"phase", "finishing"}, {"in_flight", static_cast<std::int64_t>(this->context.inFlight)}});
     asio::co_spawn(this->io, this->waitForRequests(), asio::detached);
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -56,6 +56,8 @@
     CPPUNIT_TEST(instancesAgreeOnTheReplicasOfALongPrefix);
     CPPUNIT_TEST(aPrefixHasMoreReplicasInALargerFleet);
     CPPUNIT_TEST(anOverloadedReplicaIsSkipped);
+    CPPUNIT_TEST(aPreferredUpstreamIsChosenUnlessItFailed);
+    CPPUNIT_TEST(anUpstreamWhoseLimitIsReachedIsNotChosen);
     CPPUNIT_TEST(retriesStayWithinTheBudgetInEveryWindow);
     CPPUNIT_TEST(onlyCompleteEventsAreReturned);
     CPPUNIT_TEST(eventsDoNotDependOnHowTheInputIsSplit);
@@ -257,6 +259,35 @@
         CPPUNIT_ASSERT(chooseUpstream(list, requirements, start, random)->id != replica);
     }
 
+    void aPreferredUpstreamIsChosenUnlessItFailed()
+    {
+        UpstreamList list;
+        std::mt19937_64 random(7);
+        for (const char *id : {"u0", "u1"}) {
+            list.update(entry(id));
+        }
+        list.begin(entry("u1"));
+        UpstreamRequirements requirements = question();
+        requirements.prefers = [](const RegisteredUpstream &upstream) {
+            return upstream.entry.id == UpstreamId("u1");
+        };
+        CPPUNIT_ASSERT_EQUAL(UpstreamId("u1"), chooseUpstream(list, requirements, start, random)->id);
+        list.recordOutcome(entry("u1"), UpstreamOutcome::Lost, start);
+        CPPUNIT_ASSERT_EQUAL(UpstreamId("u0"), chooseUpstream(list, requirements, start, random)->id);
+    }
+
+    void anUpstreamWhoseLimitIsReachedIsNotChosen()
+    {
+        UpstreamList list;
+        std::mt19937_64 random(7);
+        list.update(entry("u0"));
+        UpstreamRequirements requirements = question();
+        requirements.limitsPermit = [](const RegisteredUpstream &) {
+            return false;
+        };
+        CPPUNIT_ASSERT(!chooseUpstream(list, requirements, start, random));
+    }
+
     void retriesStayWithinTheBudgetInEveryWindow()
     {
         test::property("retries never exceed ratio x requests + slack in any window", []() {
@@ -370,13 +401,19 @@
                                    9});
         LastReason reason;
         CPPUNIT_ASSERT(parseFleetReport(serialise(report), reason) == report);
+        report.limits = {.notices = {{"a@1", ServiceName("s"), RequestRate{2.5}, start},
+                                     {"b@1", ServiceName("s"), std::nullopt, start}},
+                         .demand = {{ServiceName("s"), {7.3}}},
+                         .period = 12};
+        CPPUNIT_ASSERT(parseFleetReport(serialise(report), reason) == report);
     }
 
     void malformedReportsAreRejected()
     {
-        for (const char *text : {"", "{", "[]", "{\"crashes\":1,\"cleared\":[],\"versions\":[]}",
-                                 "{\"crashes\":[],\"cleared\":[1],\"versions\":[]}",
-                                 "{\"crashes\":[],\"cleared\":[],\"versions\":[[]]}"}) {
+        for (const char *text :
+             {"", "{", "[]", "{\"crashes\":1,\"cleared\":[],\"versions\":[]}",
+              "{\"crashes\":[],\"cleared\":[1],\"versions\":[]}", "{\"crashes\":[],\"cleared\":[],\"versions\":[[]]}",
+              "{\"crashes\":[],\"cleared\":[],\"versions\":[],\"limits\":{\"notices\":[]}}"}) {
             LastReason reason;
             CPPUNIT_ASSERT(!parseFleetReport(text, reason));
             CPPUNIT_ASSERT(reason.failure().id == ErrorId::BadPeerData);
--- a/tests/unit-net-fleetsync.cpp
+++ b/tests/unit-net-fleetsync.cpp
@@ -261,6 +261,8 @@
     CPPUNIT_TEST(anOrderThatWasReplacedIsNotStarted);
     CPPUNIT_TEST(lateEvidencePreventsTheCompletion);
     CPPUNIT_TEST(crashesAreReportedToOtherInstances);
+    CPPUNIT_TEST(announcedLimitsAndDemandAreReportedToOtherInstances);
+    CPPUNIT_TEST(anInstanceThatLeavesIsNoMemberAnyMore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -441,6 +443,38 @@
         one.evidenceChanged();
         CPPUNIT_ASSERT(rig.runUntil([&]() { return two.fleetView.crashes.blockedOf({Fingerprint("p")}).has_value(); }));
     }
+
+    void announcedLimitsAndDemandAreReportedToOtherInstances()
+    {
+        FleetRig rig;
+        auto &one = rig.add("one").context.fleetView.upstreamLimiter;
+        auto &two = rig.add("two").context.fleetView.upstreamLimiter;
+        announceLimit(rig);
+        CPPUNIT_ASSERT(
+            rig.runUntil([&]() { return two.limitedUpstreams() == 1 && one.members() == 2 && two.members() == 2; }));
+    }
+
+    void anInstanceThatLeavesIsNoMemberAnyMore()
+    {
+        FleetRig rig;
+        auto &one = rig.add("one");
+        auto &two = rig.add("two").context.fleetView.upstreamLimiter;
+        announceLimit(rig);
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return two.members() == 2; }));
+        one.sync.leave();
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return two.members() == 1; }));
+    }
+
+private:
+    /// The first instance is told of a limit.
+    static void announceLimit(FleetRig &rig)
+    {
+        ForwardContext &context = rig.members.front()->context;
+        const TimePoint now = bootClockNow();
+        context.fleetView.upstreamLimiter.onAnswer(
+            {.id = UpstreamId("u"), .service = ServiceName("s"), .startedAtMs = 1}, RequestRate{2}, now, now);
+        context.evidenceChanged();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetSyncTest);
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(doesNotForwardTheApiKey);
     CPPUNIT_TEST(removesHeadersReservedToTheSystem);
     CPPUNIT_TEST(removesHopByHopHeaders);
+    CPPUNIT_TEST(readsTheLimitOfAnUpstream);
     CPPUNIT_TEST(readsAConfiguration);
     CPPUNIT_TEST(aStreamWithoutResumeRunsOnce);
     CPPUNIT_TEST(readsARollOutOrder);
@@ -135,6 +136,21 @@
         CPPUNIT_ASSERT(sent.count("X-Kept") == 1);
     }
 
+    void readsTheLimitOfAnUpstream()
+    {
+        const auto limitOf = [](const char *value) {
+            boost::beast::http::response_header<> head;
+            head.set("Server-Limit", value);
+            return platform::readAnswer(head).requestRate;
+        };
+        CPPUNIT_ASSERT(limitOf("2.5") == RequestRate{2.5});
+        CPPUNIT_ASSERT(limitOf("0") == RequestRate{0});
+        for (const char *value : {"", "-1", "inf", "nan", "2.5x", "many"}) {
+            CPPUNIT_ASSERT(!limitOf(value));
+        }
+        CPPUNIT_ASSERT(!platform::readAnswer({}).requestRate);
+    }
+
     void readsAConfiguration()
     {
         const std::string text
