--- a/include/parsleyvane/ingress/upstreamlimiter.h
+++ b/include/parsleyvane/ingress/upstreamlimiter.h
@@ -174,7 +174,7 @@
     std::map<InstanceId, Member> others;
     std::map<ServiceName, Demand> demands;
     std::map<ServiceName, RequestRate> reportedDemand;
-    std::int64_t period = 0;
+    std::int64_t period = 0; ///< by the store's clock, never by what others report
     bool hasLeft = false;
 };
 
--- a/src/core/ingress/upstreamlimiter.cpp
+++ b/src/core/ingress/upstreamlimiter.cpp
@@ -150,7 +150,6 @@
 
 bool UpstreamLimiter::addMember(const InstanceId &from, const LimitReport &report)
 {
-    this->period = std::max(this->period, report.period);
     Member member{report.demand, report.period};
     std::erase_if(member.demand, [](const auto &entry) { return !(entry.second.perSecond > 0); });
     if (member.demand.empty() || member.period + this->limits.maxMissedPeriods < this->period) {
--- a/tests/unit-upstreamlimiter.cpp
+++ b/tests/unit-upstreamlimiter.cpp
@@ -344,6 +344,8 @@
     CPPUNIT_TEST(aNewInstanceLearnsTheLimitFromTheReports);
     CPPUNIT_TEST(aSilentMemberLosesItsShares);
     CPPUNIT_TEST(nobodyIsDroppedWhileTheStoresTimeStandsStill);
+    CPPUNIT_TEST(anInstanceReportsInEachPeriodEvenAfterTheOthers);
+    CPPUNIT_TEST(aReportFromTheFutureDropsNobody);
     CPPUNIT_TEST(aMemberThatLeavesGivesItsSharesToTheOthers);
     CPPUNIT_TEST(sharesFollowDemand);
     CPPUNIT_TEST(aLessUrgentRequestLeavesTokensToOthers);
@@ -458,6 +460,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, limiter.members());
     }
 
+    void anInstanceReportsInEachPeriodEvenAfterTheOthers()
+    {
+        UpstreamLimiter limiter = pairWith({100});
+        limiter.update(Milliseconds(5000), start);
+        limiter.merge({{InstanceId("b"), {.demand = {{service, {100}}}, .period = 2}}}, start);
+        CPPUNIT_ASSERT(limiter.update(Milliseconds(10000), start + Milliseconds(5000)));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, limiter.report().period);
+    }
+
+    void aReportFromTheFutureDropsNobody()
+    {
+        UpstreamLimiter limiter = pairWith({100});
+        limiter.merge({{InstanceId("c"), {.demand = {{service, {100}}}, .period = 1000}}}, start);
+        limiter.update(Milliseconds(5000), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, limiter.members());
+    }
+
     void aMemberThatLeavesGivesItsSharesToTheOthers()
     {
         UpstreamLimiter limiter = pairWith({100});
