Own no shares of a limit before the others' reports are read

What callers saw: nothing yet; an upstream could get twice its limit. Cause: no report known was taken for no other member. Ruled out: an exchange that is too late (the others' views agreed all along, 7 members).

--- a/include/parsleyvane/ingress/upstreamlimiter.h
+++ b/include/parsleyvane/ingress/upstreamlimiter.h
@@ -94,7 +94,8 @@
     /// @return whether the limit changed, so that the others need to know
     bool onAnswer(const UpstreamEntry &target, std::optional<RequestRate> rate, TimePoint sentAt, TimePoint now);
     /// @brief Adds reports of other instances, or what this one had published before a restart. Complexity: members x
-    /// upstreams when they change the members or their demand.
+    /// upstreams when they change the members or their demand. Until the first call, which may have no reports, this
+    /// instance owns no shares.
     /// @return the notices that changed a limit
     std::vector<LimitNotice> merge(const std::map<InstanceId, LimitReport> &reports, TimePoint now);
     /// @brief Removes what is older than its retention, and silent members. Complexity: linear.
@@ -175,6 +176,7 @@
     std::map<ServiceName, Demand> demands;
     std::map<ServiceName, RequestRate> reportedDemand;
     std::int64_t period = 0; ///< by the store's clock, never by what others report
+    bool hasReadReports = false;
     bool hasLeft = false;
 };
 
--- a/src/core/ingress/upstreamlimiter.cpp
+++ b/src/core/ingress/upstreamlimiter.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace parsleyvane {
 
@@ -127,7 +128,7 @@
 std::vector<LimitNotice> UpstreamLimiter::merge(const std::map<InstanceId, LimitReport> &reports, TimePoint now)
 {
     std::vector<LimitNotice> changed;
-    bool isMemberChanged = false;
+    bool isMemberChanged = !std::exchange(this->hasReadReports, true);
     for (const auto &[from, report] : reports) {
         for (LimitNotice notice : report.notices) {
             notice.at = std::min(notice.at, now);
@@ -206,7 +207,7 @@
 unsigned UpstreamLimiter::ownedShares(const std::string &process, const ServiceName &service) const
 {
     const auto own = this->reportedDemand.find(service);
-    if (own == this->reportedDemand.end()) {
+    if (own == this->reportedDemand.end() || !this->hasReadReports) {
         return 0;
     }
     unsigned owned = 0;
