--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -55,6 +55,8 @@
      * @param leavingBound time within which a deregistering upstream must get no new requests
      */
     void setBounds(Milliseconds changeBound, Milliseconds leavingBound);
+    /// @brief Sets the gauges of the age of each table's last answer.
+    void updateMetrics();
 
 private:
     /// How the rows of one table are applied.
@@ -66,6 +68,15 @@
         void (FleetSync::*applyChanges)(const TableSnapshot &);
     };
 
+    /// The state of one table's reads.
+    struct ReadState
+    {
+        TimePoint begunAt{}; ///< of the latest read
+        Milliseconds wait{0}; ///< how long the latest read lets the store wait for changes
+        std::optional<TimePoint> answeredAt; ///< of the latest answer
+        bool isUnreachable = false; ///< the latest read failed
+    };
+
     boost::asio::awaitable<void> readLoop(Reader reader);
     boost::asio::awaitable<bool> readOnce(const Reader &reader, std::optional<std::uint64_t> &version,
                                           LastReason &reason);
@@ -97,7 +108,7 @@
     SyncLimits limits;
     ShiftLimits shiftLimits;
     std::function<void()> configured;
-    std::map<std::string, bool> unreachable; ///< by table: whether the last read failed
+    std::map<std::string, ReadState> readStates; ///< by the table's name
     std::map<std::string, std::uint64_t> statusVersions; ///< row versions of the roll-out statuses, by key
     Milliseconds storeClockOffset{0}; ///< the store's steady clock minus this machine's
     bool isClockOffsetKnown = false;
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <utility>
 
 namespace parsleyvane {
 
@@ -98,6 +99,9 @@
 asio::awaitable<bool> FleetSync::readOnce(const Reader &reader, std::optional<std::uint64_t> &version,
                                           LastReason &reason)
 {
+    ReadState &state = this->readStates[reader.name];
+    state.begunAt = bootClockNow();
+    state.wait = Milliseconds(0);
     if (!version) {
         const auto snapshot = co_await this->context.platform.readTable(reader.table, reason);
         if (!snapshot) {
@@ -108,9 +112,8 @@
         version = snapshot->version;
         co_return true;
     }
-    const ChangesOutcome outcome = co_await this->context.platform.readChanges(
-        reader.table, *version,
-        reader.table == StoreTable::Orders ? this->limits.ordersLongPollWait : this->limits.longPollWait);
+    state.wait = reader.table == StoreTable::Orders ? this->limits.ordersLongPollWait : this->limits.longPollWait;
+    const ChangesOutcome outcome = co_await this->context.platform.readChanges(reader.table, *version, state.wait);
     if (const auto *snapshot = std::get_if<TableSnapshot>(&outcome)) {
         this->updateClockOffset(*snapshot);
         (this->*reader.applyChanges)(*snapshot);
@@ -129,13 +132,20 @@
 
 void FleetSync::updateReachability(const Reader &reader, bool answers, const std::string &detail)
 {
-    bool &wasUnreachable = this->unreachable[reader.name];
-    if (answers == !wasUnreachable) {
+    ReadState &state = this->readStates[reader.name];
+    const TimePoint now = bootClockNow();
+    const auto lastAnswer = std::exchange(state.answeredAt, answers ? std::optional(now) : state.answeredAt);
+    if (answers == !state.isUnreachable) {
         return;
     }
-    wasUnreachable = !answers;
+    state.isUnreachable = !answers;
     this->context.metrics.countEvent(answers ? "store_regained" : "store_lost");
-    this->context.log.line(answers ? "store_regained" : "store_lost", {{"table", reader.name}, {"detail", detail}});
+    this->context.log.line(answers ? "store_regained" : "store_lost",
+                           {{"table", reader.name},
+                            {"detail", detail},
+                            {"pending", (now - state.begunAt).count()},
+                            {"wait", state.wait.count()},
+                            {"age", lastAnswer ? std::to_string((now - *lastAnswer).count()) : "never"}});
     if (reader.table == StoreTable::Orders && !answers) {
         this->context.platform.interruptReads();
     }
@@ -160,6 +170,17 @@
     }
 }
 
+void FleetSync::updateMetrics()
+{
+    const TimePoint now = bootClockNow();
+    for (const auto &[table, state] : this->readStates) {
+        if (state.answeredAt) {
+            this->context.metrics.setGauge("store_age_ms_" + table,
+                                           static_cast<double>((now - *state.answeredAt).count()));
+        }
+    }
+}
+
 void FleetSync::setBounds(Milliseconds changeBound, Milliseconds leavingBound)
 {
     // A long poll that the store never answers ends after its wait plus a margin; the next read takes a few ms.
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -185,6 +185,7 @@
     if (target == "/metrics") {
         this->metrics.setGauge("in_flight", static_cast<double>(this->context.inFlight));
         this->metrics.setGauge("upstreams", static_cast<double>(this->context.fleetView.upstreams.size()));
+        this->sync.updateMetrics();
         const UpstreamLimiter &limiter = this->context.fleetView.upstreamLimiter;
         this->metrics.setGauge("limited_upstreams", static_cast<double>(limiter.limitedUpstreams()));
         this->metrics.setGauge("limit_members", static_cast<double>(limiter.members()));
