Failing test: after a silent outage the list of upstreams is not followed

anUpstreamThatLeavesAfterASilentOutageIsKnownWithinTheStableWindow (unit-net-outage) fails on this code: 3 s after an outage of 2.5 s the entry is still the one before.

--- /dev/null
+++ b/tests/fakeplatform.h
@@ -0,0 +1,284 @@
+/**
+ * @file
+ * @brief Instances that synchronise with an in-memory store, whose faults the tests switch on.
+ */
+#pragma once
+
+#include "parsleyvane/core/clock.h"
+#include "parsleyvane/forward/fleetsync.h"
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace parsleyvane::test {
+
+namespace asio = boost::asio;
+
+/// @brief An in-memory store. Rows hold short texts such as "v2" or "1", which the tests write directly.
+class FakePlatform : public PlatformPort
+{
+public:
+    explicit FakePlatform(asio::io_context &context)
+        : context(context)
+    {
+    }
+
+    struct Change
+    {
+        StoreTable table;
+        TableRow row;
+        bool removed = false;
+    };
+
+    asio::io_context &context;
+    std::vector<Change> history;
+    std::map<std::string, TableRow> rows;
+    std::uint64_t version = 0;
+    bool isUnreachable = false; ///< calls fail at once
+    bool isSilent = false; ///< calls, also those in flight, are never answered
+    std::set<StoreTable> unreachableTables; ///< their reads fail at once
+    bool isHistoryLost = false;
+    unsigned fullReads = 0;
+    unsigned writes = 0;
+    unsigned interruptCount = 0;
+    std::function<void(const Transaction &)> onTransact; ///< before a transaction is sent
+
+    void put(StoreTable table, const std::string &name, const std::string &value)
+    {
+        TableRow row{this->rowKey(table, name), ++this->version, value};
+        this->rows[row.key] = row;
+        this->history.push_back({table, row});
+    }
+
+    void remove(StoreTable table, const std::string &name)
+    {
+        TableRow row{this->rowKey(table, name), ++this->version, {}};
+        this->rows.erase(row.key);
+        this->history.push_back({table, row, true});
+    }
+
+    asio::awaitable<std::optional<TableSnapshot>> readTable(StoreTable table, LastReason &reason) override
+    {
+        ++this->fullReads;
+        if (!co_await this->waitWhile(table, Milliseconds(0), []() { return false; })) {
+            co_return reason.fail({.id = ErrorId::StoreUnavailable});
+        }
+        TableSnapshot snapshot{.version = this->version, .storeTime = now()};
+        for (const auto &[key, row] : this->rows) {
+            if (key.starts_with(this->rowKey(table, ""))) {
+                snapshot.rows.push_back(row);
+            }
+        }
+        co_return snapshot;
+    }
+
+    asio::awaitable<ChangesOutcome> readChanges(StoreTable table, std::uint64_t after, Milliseconds wait) override
+    {
+        const auto isQuiet = [this, table, after]() {
+            return !this->isHistoryLost
+                && std::none_of(this->history.begin(), this->history.end(), [&](const Change &change) {
+                       return change.table == table && change.row.version > after;
+                   });
+        };
+        if (!co_await this->waitWhile(table, wait, isQuiet)) {
+            co_return Failure{.id = ErrorId::StoreUnavailable};
+        }
+        if (this->isHistoryLost) {
+            co_return HistoryLost{};
+        }
+        TableSnapshot snapshot{.version = this->version, .storeTime = now()};
+        for (const Change &change : this->history) {
+            if (change.table != table || change.row.version <= after) {
+                continue;
+            }
+            if (change.removed) {
+                snapshot.removed.push_back(change.row.key);
+            } else {
+                snapshot.rows.push_back(change.row);
+            }
+        }
+        co_return snapshot;
+    }
+
+    void interruptReads() override
+    {
+        ++this->interruptCount;
+    }
+
+    asio::awaitable<TransactionOutcome> transact(Transaction transaction) override
+    {
+        if (this->onTransact) {
+            this->onTransact(transaction);
+        }
+        co_await this->simulateLatency();
+        ++this->writes;
+        for (const Transaction::Check &check : transaction.checks) {
+            const auto found = this->rows.find(check.key);
+            const std::uint64_t current = found != this->rows.end() ? found->second.version : 0;
+            if (current != check.version) {
+                TransactionConflict conflict;
+                if (found != this->rows.end()) {
+                    conflict.rows.push_back(found->second);
+                }
+                co_return conflict;
+            }
+        }
+        for (const Transaction::Put &put : transaction.puts) {
+            const bool isStatus = put.key.starts_with("status/");
+            this->put(isStatus ? StoreTable::Status : StoreTable::Fleet, put.key.substr(put.key.find('/') + 1),
+                      put.value);
+        }
+        co_return TransactionCommitted{};
+    }
+
+    std::string rowKey(StoreTable table, const std::string &name) const override
+    {
+        const std::map<StoreTable, std::string> names = {{StoreTable::Orders, "orders"},
+                                                         {StoreTable::Upstreams, "upstreams"},
+                                                         {StoreTable::Status, "status"},
+                                                         {StoreTable::Fleet, "fleet"}};
+        return names.at(table) + "/" + name;
+    }
+
+    std::optional<OperatorOrder> readOrder(const TableRow &row, LastReason &reason) const override
+    {
+        if (row.key == "orders/config") {
+            return std::make_shared<RouteTable>(Revision(std::stoul(row.value)));
+        }
+        if (row.key == "orders/rollout") {
+            return RolloutOrder{ServiceName("s"), VersionName(row.value), Milliseconds(1000), row.version};
+        }
+        return reason.fail({.id = ErrorId::InvalidConfiguration});
+    }
+
+    std::optional<UpstreamEntry> readUpstream(const TableRow &row, LastReason &reason) const override
+    {
+        if (row.value.empty()) {
+            return reason.fail({.id = ErrorId::BadPeerData});
+        }
+        return UpstreamEntry{.id = UpstreamId(row.key.substr(row.key.find('/') + 1)),
+                             .service = ServiceName("s"),
+                             .version = VersionName(row.value)};
+    }
+
+    std::optional<RolloutStatus> readStatus(const TableRow &row, LastReason &) const override
+    {
+        const std::size_t at = row.value.find(' ');
+        return RolloutStatus{.service = ServiceName("s"),
+                             .to = VersionName("v2"),
+                             .state = static_cast<RolloutState>(std::stoi(row.value)),
+                             .order = std::stoul(row.value.substr(at)),
+                             .startedAt = now()};
+    }
+
+    std::pair<std::string, std::string> writeStatus(const RolloutStatus &status) const override
+    {
+        return {"s", std::to_string(static_cast<int>(status.state)) + " " + std::to_string(status.order)};
+    }
+
+    std::optional<RequestFacts> readRequest(const HttpRequest &, LastReason &) const override
+    {
+        return std::nullopt;
+    }
+
+    HttpRequest makeUpstreamRequest(const HttpRequest &received, const DispatchFacts &) const override
+    {
+        return received;
+    }
+
+    AnswerHead readAnswer(const boost::beast::http::response_header<> &) const override
+    {
+        return {};
+    }
+
+    static Milliseconds now()
+    {
+        return bootClockNow().time_since_epoch();
+    }
+
+private:
+    static constexpr Milliseconds latency{5};
+    static constexpr Milliseconds answerMargin{700}; ///< after its wait, a read without an answer fails
+
+    asio::awaitable<void> simulateLatency()
+    {
+        asio::steady_timer timer(this->context, latency);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+
+    /// Waits for the answer to a read. @return false when the read fails, is interrupted or never answered
+    asio::awaitable<bool> waitWhile(StoreTable table, Milliseconds wait, std::function<bool()> isQuiet)
+    {
+        const unsigned interrupts = this->interruptCount;
+        bool isAnswerLost = false;
+        Milliseconds waited{0};
+        while (true) {
+            co_await this->simulateLatency();
+            waited += latency;
+            isAnswerLost = isAnswerLost || this->isSilent;
+            if (this->isUnreachable || this->unreachableTables.contains(table) || this->interruptCount != interrupts) {
+                co_return false;
+            }
+            if (isAnswerLost ? waited >= wait + answerMargin : waited >= wait || !isQuiet()) {
+                co_return !isAnswerLost;
+            }
+        }
+    }
+};
+
+/// @brief Instances that share one store.
+struct FleetRig
+{
+    struct Member
+    {
+        Member(asio::io_context &io, FakePlatform &platform, const std::string &name)
+            : log(io, {.linesPerSecond = 0})
+            , context{.io = io, .platform = platform, .metrics = this->metrics, .log = this->log, .zone = ZoneId("a")}
+            , sync(this->context, InstanceId(name),
+                   {.upstreamReadInterval = Milliseconds(10),
+                    .fleetReadInterval = Milliseconds(10),
+                    .initialBackoff = Milliseconds(10),
+                    .maxBackoff = Milliseconds(20),
+                    .publishDelay = Milliseconds(10),
+                    .tickInterval = Milliseconds(20)})
+        {
+            this->sync.start([]() {});
+        }
+        Metrics metrics;
+        DecisionLog log;
+        ForwardContext context;
+        FleetSync sync;
+    };
+
+    ~FleetRig()
+    {
+        this->io.stop();
+    }
+
+    Member &add(const std::string &name)
+    {
+        return *this->members.emplace_back(std::make_unique<Member>(this->io, this->platform, name));
+    }
+
+    /// Runs until the condition holds, or for 20 s so that a failing test ends.
+    template<typename Condition>
+    bool runUntil(Condition condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!condition() && std::chrono::steady_clock::now() < end) {
+            this->io.run_one_for(std::chrono::milliseconds(10));
+        }
+        return condition();
+    }
+
+    asio::io_context io;
+    FakePlatform platform{io};
+    std::vector<std::unique_ptr<Member>> members;
+};
+
+} // namespace parsleyvane::test
--- /dev/null
+++ b/tests/unit-net-outage.cpp
@@ -0,0 +1,37 @@
+#include "suite.h"
+
+#include "fakeplatform.h"
+
+namespace parsleyvane {
+
+using test::FleetRig;
+
+class OutageTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(OutageTest);
+    CPPUNIT_TEST(anUpstreamThatLeavesAfterASilentOutageIsKnownWithinTheStableWindow);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void anUpstreamThatLeavesAfterASilentOutageIsKnownWithinTheStableWindow()
+    {
+        FleetRig rig;
+        rig.platform.put(StoreTable::Orders, "config", "3");
+        rig.platform.put(StoreTable::Upstreams, "u", "v1");
+        auto &fleetView = rig.add("one").context.fleetView;
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return fleetView.table && fleetView.upstreamsKnown; }));
+        rig.platform.isSilent = true;
+        rig.io.run_for(std::chrono::milliseconds(2500));
+        rig.platform.isSilent = false;
+        rig.platform.put(StoreTable::Upstreams, "u", "v2");
+        rig.io.run_for(stableWindow);
+        CPPUNIT_ASSERT(fleetView.upstreams.find(UpstreamId("u"))->entry.version == VersionName("v2"));
+    }
+
+private:
+    static constexpr Milliseconds stableWindow{3000};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OutageTest);
+
+} // namespace parsleyvane
