Bound how long a read of the store may hide its table

Cause: a read of changes that begins while the store is away is never answered, and its connection stands. Its limit was the longest wait of the store plus a margin, 25.7 s, for every table but the operator's, and the failure of the operator's table interrupted the others only once, at the beginning of the outage. Class: a wait that outlives the bound that it serves.

--- a/include/parsleyvane/config/settings.h
+++ b/include/parsleyvane/config/settings.h
@@ -61,6 +61,10 @@
     Milliseconds change{2000};
     /// @brief Longest time from the store's acknowledgement that an upstream is draining until it gets no new requests.
     Milliseconds leaving{2000};
+    /// @brief Longest time from the answer that shows a version to be bad until it gets no new requests.
+    Milliseconds evidence{5000};
+    /// @brief Time after the end of a disturbance from which the other bounds hold again.
+    Milliseconds stable{3000};
     /// @brief Time from the request to stop until the process is killed.
     Milliseconds grace{8000};
     /// @brief Budget for attempts beyond the first of each request, as a share of the requests.
--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -16,17 +16,7 @@
 /// @brief Intervals and delays of the store's reads and writes.
 struct SyncLimits
 {
-    /// @brief Longest time that the store holds one long poll for changes open.
-    Milliseconds longPollWait{25000};
-    /// @brief The same for the operator's table; shorter, as its failed read reveals an outage and interrupts the
-    /// others.
-    Milliseconds ordersLongPollWait{1000};
-    /// @brief Interval between reads of upstream changes. Each upstream writes its own row and each call has a price,
-    /// so the changes of one interval are read together.
-    Milliseconds upstreamReadInterval{500};
-    Milliseconds fleetReadInterval{400}; ///< the same for the reports of other instances
-    Milliseconds initialBackoff{100}; ///< after a failed call; doubles with each further one
-    Milliseconds maxBackoff{1000}; ///< well below the time within which an instance must reconnect to a recovered store
+    WatchLimits watch;
     Milliseconds publishDelay{250}; ///< evidence gathered within this delay goes into one write
     Milliseconds tickInterval{200}; ///< between checks of roll-outs and expiries
 };
@@ -49,12 +39,8 @@
     /// @brief Tells the others that this instance takes no more requests.
     void leave();
     void setShiftLimits(const ShiftLimits &newLimits);
-    /**
-     * @brief Derives the read intervals from the deployment's bounds.
-     * @param changeBound time within which a configuration change must be in force
-     * @param leavingBound time within which a deregistering upstream must get no new requests
-     */
-    void setBounds(Milliseconds changeBound, Milliseconds leavingBound);
+    /// @brief Derives the waits of the reads from the deployment's bounds.
+    void setBounds(const WatchBounds &bounds);
     /// @brief Sets the gauges of the age of each table's last answer.
     void updateMetrics();
 
@@ -68,19 +54,12 @@
         void (FleetSync::*applyChanges)(const TableSnapshot &);
     };
 
-    /// The state of one table's reads.
-    struct ReadState
-    {
-        TimePoint begunAt{}; ///< of the latest read
-        Milliseconds wait{0}; ///< how long the latest read lets the store wait for changes
-        std::optional<TimePoint> answeredAt; ///< of the latest answer
-        bool isUnreachable = false; ///< the latest read failed
-    };
-
     boost::asio::awaitable<void> readLoop(Reader reader);
-    boost::asio::awaitable<bool> readOnce(const Reader &reader, std::optional<std::uint64_t> &version,
-                                          LastReason &reason);
-    Milliseconds readInterval(StoreTable table) const;
+    /// Reads once and applies the answer. Returns the pause until the next read.
+    boost::asio::awaitable<Milliseconds> readOnce(const Reader &reader, LastReason &reason);
+    Milliseconds onReadFailed(StoreTable table);
+    /// Ends the pending reads that must be repeated.
+    void interruptReads();
     boost::asio::awaitable<void> tickLoop();
     boost::asio::awaitable<void> publish();
     boost::asio::awaitable<void> advanceRollout(ServiceName service);
@@ -94,7 +73,9 @@
     void applyUpstreamChanges(const TableSnapshot &snapshot);
     void applyStatus(const TableSnapshot &snapshot);
     void mergeReports(const TableSnapshot &snapshot);
-    void updateReachability(const Reader &reader, bool answers, const std::string &detail);
+    /// Logs whether the table was lost or regained, and tells the list of upstreams.
+    void updateReachability(const Reader &reader, bool wasReachable, std::optional<TimePoint> lastAnswer,
+                            const std::string &detail);
     void updateClockOffset(const TableSnapshot &snapshot);
     TimePoint localTime(Milliseconds storeTime) const;
     Milliseconds storeTimeNow() const;
@@ -108,7 +89,8 @@
     SyncLimits limits;
     ShiftLimits shiftLimits;
     std::function<void()> configured;
-    std::map<std::string, ReadState> readStates; ///< by the table's name
+    StoreWatch watch;
+    std::vector<Reader> readers;
     std::map<std::string, std::uint64_t> statusVersions; ///< row versions of the roll-out statuses, by key
     Milliseconds storeClockOffset{0}; ///< the store's steady clock minus this machine's
     bool isClockOffsetKnown = false;
--- a/include/parsleyvane/forward/platformport.h
+++ b/include/parsleyvane/forward/platformport.h
@@ -9,6 +9,7 @@
 #include "parsleyvane/ingress/versionshift.h"
 #include "parsleyvane/limits/tokenbucket.h"
 #include "parsleyvane/net/httpclient.h"
+#include "parsleyvane/store/storewatch.h"
 #include "parsleyvane/store/transaction.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -64,14 +65,6 @@
     std::optional<RequestRate> requestRate; ///< what the upstream accepts from all instances together
 };
 
-/// @brief Tables of the store.
-enum class StoreTable {
-    Orders, ///< the operator's configuration and roll-out orders
-    Upstreams, ///< the registered upstreams
-    Status, ///< roll-out states for the operator
-    Fleet, ///< reports that the instances exchange
-};
-
 /// @brief Rows of a table, or their changes, as of one point in time.
 struct TableSnapshot
 {
@@ -104,8 +97,8 @@
     /// @brief Long-polls for changes after a version; an empty list when the wait ends without any.
     virtual boost::asio::awaitable<ChangesOutcome> readChanges(StoreTable table, std::uint64_t after, Milliseconds wait)
         = 0;
-    /// @brief Aborts the reads in flight: after an outage of the store they would not be answered.
-    virtual void interruptReads() = 0;
+    /// @brief Aborts the table's read in flight, if any; it fails.
+    virtual void interruptRead(StoreTable table) = 0;
     /// @brief Writes rows if the checked rows still have the given versions.
     virtual boost::asio::awaitable<TransactionOutcome> transact(Transaction transaction) = 0;
     /// @brief The key of a row in a transaction.
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -162,6 +162,14 @@
          [](InstanceSettings &settings, const std::string &value) {
              return parseDuration(settings.bounds.leaving, value, minPositiveDuration);
          }},
+    Rule{"bounds", "evidence-ms", false, durationRule,
+         [](InstanceSettings &settings, const std::string &value) {
+             return parseDuration(settings.bounds.evidence, value, minPositiveDuration);
+         }},
+    Rule{"bounds", "stable-ms", false, durationRule,
+         [](InstanceSettings &settings, const std::string &value) {
+             return parseDuration(settings.bounds.stable, value, minPositiveDuration);
+         }},
     Rule{"bounds", "grace-s", false, secondsRule,
          [](InstanceSettings &settings, const std::string &value) {
              return parseSeconds(settings.bounds.grace, value);
--- /dev/null
+++ b/src/core/storewatch.cpp
@@ -0,0 +1,175 @@
+#include "parsleyvane/store/storewatch.h"
+
+#include <algorithm>
+
+namespace parsleyvane {
+
+WatchLimits withBounds(WatchLimits limits, const WatchBounds &bounds)
+{
+    // A read whose answer is lost ends after its wait and this margin; the next one is answered within a few ms.
+    constexpr Milliseconds answerMargin{700};
+    constexpr Milliseconds minWait{500};
+    constexpr int readsPerBound = 3;
+    const auto waitWithin = [&](Milliseconds bound) {
+        return std::max(minWait, bound - answerMargin - limits.initialBackoff);
+    };
+    const Milliseconds stableWait = waitWithin(bounds.stable);
+    limits.ordersWait = std::min(stableWait, std::max(minWait, bounds.change));
+    limits.upstreamsWait = std::min(stableWait, std::max(minWait, bounds.leaving));
+    limits.evidenceWait = waitWithin(bounds.evidence);
+    limits.maxBackoff = std::min(limits.maxBackoff, bounds.stable / readsPerBound);
+    limits.upstreamsInterval = bounds.leaving / readsPerBound;
+    return limits;
+}
+
+StoreWatch::StoreWatch(WatchLimits limits)
+    : limits(limits)
+{
+    for (const StoreTable table : {StoreTable::Orders, StoreTable::Upstreams, StoreTable::Status, StoreTable::Fleet}) {
+        this->states.try_emplace(table);
+    }
+}
+
+void StoreWatch::setLimits(const WatchLimits &newLimits)
+{
+    this->limits = newLimits;
+}
+
+TableRead StoreWatch::beginRead(StoreTable table, TimePoint now)
+{
+    State &state = this->states.at(table);
+    state.wait = this->waitOf(table, state);
+    state.nextWait = NextWait::Idle;
+    state.isPending = true;
+    state.isInterrupted = false;
+    state.isInterruptTaken = false;
+    state.begunAt = now;
+    return {.after = state.version, .wait = state.wait};
+}
+
+Milliseconds StoreWatch::onAnswer(StoreTable table, std::uint64_t version, TimePoint now)
+{
+    State &state = this->states.at(table);
+    state.version = std::max(state.version.value_or(0), version);
+    this->newestVersion = std::max(this->newestVersion, version);
+    state.answeredAt = now;
+    state.isPending = false;
+    state.isReachable = true;
+    state.backoff = Milliseconds(0);
+    return this->intervalOf(table);
+}
+
+Milliseconds StoreWatch::onHistoryLost(StoreTable table, TimePoint now)
+{
+    State &state = this->states.at(table);
+    state.version.reset();
+    state.answeredAt = now;
+    state.isPending = false;
+    state.isReachable = true;
+    state.backoff = Milliseconds(0);
+    return this->limits.initialBackoff;
+}
+
+Milliseconds StoreWatch::onFailure(StoreTable table, double jitter)
+{
+    State &state = this->states.at(table);
+    state.isPending = false;
+    if (state.isInterrupted) {
+        return Milliseconds(0);
+    }
+    state.nextWait = NextWait::None;
+    if (state.isReachable) {
+        state.isReachable = false;
+        for (auto &[other, otherState] : this->states) {
+            if (other == table) {
+                continue;
+            }
+            otherState.nextWait = NextWait::None;
+            // A read that doesn't wait for changes ends soon by itself.
+            otherState.isInterrupted
+                = otherState.isInterrupted || (otherState.isPending && otherState.wait.count() > 0);
+        }
+    }
+    state.backoff = state.backoff.count() == 0 ? this->limits.initialBackoff
+                                               : std::min(state.backoff * 2, this->limits.maxBackoff);
+    return Milliseconds(static_cast<std::int64_t>(jitter * static_cast<double>(state.backoff.count())));
+}
+
+std::vector<StoreTable> StoreWatch::takeInterrupts(TimePoint now)
+{
+    std::vector<StoreTable> taken;
+    for (auto &[table, state] : this->states) {
+        if (!state.isInterrupted && this->isOverdue(table, state, now)) {
+            state.isInterrupted = true;
+            state.nextWait = NextWait::Bounded;
+        }
+        if (!state.isPending || !state.isInterrupted || state.isInterruptTaken) {
+            continue;
+        }
+        state.isInterruptTaken = true;
+        taken.push_back(table);
+    }
+    return taken;
+}
+
+bool StoreWatch::isOverdue(StoreTable table, const State &state, TimePoint now) const
+{
+    const Milliseconds bounded = this->boundedWait(table);
+    return state.isPending && state.wait > bounded && now - state.begunAt >= bounded
+        && this->newestVersion > state.version.value_or(0);
+}
+
+bool StoreWatch::isReachable(StoreTable table) const
+{
+    return this->states.at(table).isReachable;
+}
+
+std::optional<TimePoint> StoreWatch::answeredAt(StoreTable table) const
+{
+    return this->states.at(table).answeredAt;
+}
+
+TimePoint StoreWatch::begunAt(StoreTable table) const
+{
+    return this->states.at(table).begunAt;
+}
+
+Milliseconds StoreWatch::latestWait(StoreTable table) const
+{
+    return this->states.at(table).wait;
+}
+
+Milliseconds StoreWatch::boundedWait(StoreTable table) const
+{
+    switch (table) {
+    case StoreTable::Orders:
+        return this->limits.ordersWait;
+    case StoreTable::Upstreams:
+        return this->limits.upstreamsWait;
+    default:
+        return this->limits.evidenceWait;
+    }
+}
+
+Milliseconds StoreWatch::waitOf(StoreTable table, const State &state) const
+{
+    if (!state.version || state.nextWait == NextWait::None) {
+        return Milliseconds(0);
+    }
+    const bool isIdle = table != StoreTable::Orders && state.nextWait == NextWait::Idle;
+    return isIdle ? std::max(this->limits.idleWait, this->boundedWait(table)) : this->boundedWait(table);
+}
+
+Milliseconds StoreWatch::intervalOf(StoreTable table) const
+{
+    switch (table) {
+    case StoreTable::Upstreams:
+        return this->limits.upstreamsInterval;
+    case StoreTable::Fleet:
+        return this->limits.fleetInterval;
+    default:
+        return Milliseconds(0);
+    }
+}
+
+} // namespace parsleyvane
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <utility>
 
 namespace parsleyvane {
 
@@ -39,6 +38,7 @@
     : context(context)
     , self(std::move(self))
     , limits(limits)
+    , watch(limits.watch)
 {
     this->context.fleetView.upstreamLimiter.setSelf(this->self);
 }
@@ -54,13 +54,13 @@
 void FleetSync::start(std::function<void()> onConfigured)
 {
     this->configured = std::move(onConfigured);
-    const std::array readers = {
+    this->readers = {
         Reader{StoreTable::Orders, "orders", &FleetSync::applyOrders, &FleetSync::applyOrders},
         Reader{StoreTable::Upstreams, "upstreams", &FleetSync::replaceUpstreams, &FleetSync::applyUpstreamChanges},
         Reader{StoreTable::Status, "status", &FleetSync::applyStatus, &FleetSync::applyStatus},
         Reader{StoreTable::Fleet, "fleet", &FleetSync::mergeReports, &FleetSync::mergeReports},
     };
-    for (const Reader &reader : readers) {
+    for (const Reader &reader : this->readers) {
         asio::co_spawn(this->context.io, this->readLoop(reader), asio::detached);
     }
     asio::co_spawn(this->context.io, this->tickLoop(), asio::detached);
@@ -75,120 +75,101 @@
 
 asio::awaitable<void> FleetSync::readLoop(Reader reader)
 {
-    std::optional<std::uint64_t> version; // empty until the table was read in full
-    Milliseconds backoff = this->limits.initialBackoff;
     while (true) {
+        const bool wasReachable = this->watch.isReachable(reader.table);
+        const auto lastAnswer = this->watch.answeredAt(reader.table);
         LastReason reason;
-        if (co_await this->readOnce(reader, version, reason)) {
-            this->updateReachability(reader, true, {});
-            backoff = this->limits.initialBackoff;
-            if (this->readInterval(reader.table).count() > 0) {
-                co_await sleepFor(this->readInterval(reader.table));
-            }
-            continue;
+        const Milliseconds pause = co_await this->readOnce(reader, reason);
+        this->updateReachability(reader, wasReachable, lastAnswer, reason.failure().detail);
+        this->interruptReads();
+        if (pause.count() > 0) {
+            co_await sleepFor(pause);
         }
-        this->updateReachability(reader, false, reason.failure().detail);
-        // The jitter keeps the instances from retrying at the same moment when the store is reachable again.
-        std::uniform_real_distribution<double> jitter(0.5, 1.0);
-        const double delay = jitter(this->context.random) * static_cast<double>(backoff.count());
-        co_await sleepFor(Milliseconds(static_cast<std::int64_t>(delay)));
-        backoff = std::min(backoff * 2, this->limits.maxBackoff);
     }
 }
 
-asio::awaitable<bool> FleetSync::readOnce(const Reader &reader, std::optional<std::uint64_t> &version,
-                                          LastReason &reason)
+asio::awaitable<Milliseconds> FleetSync::readOnce(const Reader &reader, LastReason &reason)
 {
-    ReadState &state = this->readStates[reader.name];
-    state.begunAt = bootClockNow();
-    state.wait = Milliseconds(0);
-    if (!version) {
+    const TableRead read = this->watch.beginRead(reader.table, bootClockNow());
+    if (!read.after) {
         const auto snapshot = co_await this->context.platform.readTable(reader.table, reason);
         if (!snapshot) {
-            co_return false;
+            co_return this->onReadFailed(reader.table);
         }
+        const Milliseconds pause = this->watch.onAnswer(reader.table, snapshot->version, bootClockNow());
         this->updateClockOffset(*snapshot);
         (this->*reader.applyTable)(*snapshot);
-        version = snapshot->version;
-        co_return true;
+        co_return pause;
     }
-    state.wait = reader.table == StoreTable::Orders ? this->limits.ordersLongPollWait : this->limits.longPollWait;
-    const ChangesOutcome outcome = co_await this->context.platform.readChanges(reader.table, *version, state.wait);
+    const ChangesOutcome outcome = co_await this->context.platform.readChanges(reader.table, *read.after, read.wait);
     if (const auto *snapshot = std::get_if<TableSnapshot>(&outcome)) {
+        const Milliseconds pause = this->watch.onAnswer(reader.table, snapshot->version, bootClockNow());
         this->updateClockOffset(*snapshot);
         (this->*reader.applyChanges)(*snapshot);
-        version = std::max(*version, snapshot->version);
-        co_return true;
+        co_return pause;
     }
     if (std::holds_alternative<HistoryLost>(outcome)) {
         this->context.log.line("history_lost",
-                               {{"table", reader.name}, {"after", static_cast<std::int64_t>(*version)}});
-        version.reset();
-        co_return true;
+                               {{"table", reader.name}, {"after", static_cast<std::int64_t>(*read.after)}});
+        co_return this->watch.onHistoryLost(reader.table, bootClockNow());
     }
     reason.fail(std::get<Failure>(outcome));
-    co_return false;
+    co_return this->onReadFailed(reader.table);
 }
 
-void FleetSync::updateReachability(const Reader &reader, bool answers, const std::string &detail)
+Milliseconds FleetSync::onReadFailed(StoreTable table)
 {
-    ReadState &state = this->readStates[reader.name];
-    const TimePoint now = bootClockNow();
-    const auto lastAnswer = std::exchange(state.answeredAt, answers ? std::optional(now) : state.answeredAt);
-    if (answers == !state.isUnreachable) {
+    // The jitter keeps the instances from retrying at the same moment when the store is reachable again.
+    std::uniform_real_distribution<double> jitter(0.5, 1.0);
+    return this->watch.onFailure(table, jitter(this->context.random));
+}
+
+void FleetSync::updateReachability(const Reader &reader, bool wasReachable, std::optional<TimePoint> lastAnswer,
+                                   const std::string &detail)
+{
+    const bool isReachable = this->watch.isReachable(reader.table);
+    if (isReachable == wasReachable) {
         return;
     }
-    state.isUnreachable = !answers;
-    this->context.metrics.countEvent(answers ? "store_regained" : "store_lost");
-    this->context.log.line(answers ? "store_regained" : "store_lost",
+    const TimePoint now = bootClockNow();
+    this->context.metrics.countEvent(isReachable ? "store_regained" : "store_lost");
+    this->context.log.line(isReachable ? "store_regained" : "store_lost",
                            {{"table", reader.name},
                             {"detail", detail},
-                            {"pending", (now - state.begunAt).count()},
-                            {"wait", state.wait.count()},
+                            {"pending", (now - this->watch.begunAt(reader.table)).count()},
+                            {"wait", this->watch.latestWait(reader.table).count()},
                             {"age", lastAnswer ? std::to_string((now - *lastAnswer).count()) : "never"}});
-    if (reader.table == StoreTable::Orders && !answers) {
-        this->context.platform.interruptReads();
+    if (reader.table != StoreTable::Upstreams) {
+        return;
     }
-    if (reader.table == StoreTable::Upstreams) {
-        if (answers) {
-            this->context.fleetView.upstreams.onStoreReachable(bootClockNow());
-        } else {
-            this->context.fleetView.upstreams.onStoreUnreachable();
-        }
+    if (isReachable) {
+        this->context.fleetView.upstreams.onStoreReachable(now);
+    } else {
+        this->context.fleetView.upstreams.onStoreUnreachable();
     }
 }
 
-Milliseconds FleetSync::readInterval(StoreTable table) const
+void FleetSync::interruptReads()
 {
-    switch (table) {
-    case StoreTable::Upstreams:
-        return this->limits.upstreamReadInterval;
-    case StoreTable::Fleet:
-        return this->limits.fleetReadInterval;
-    default:
-        return Milliseconds(0);
+    for (const StoreTable table : this->watch.takeInterrupts(bootClockNow())) {
+        this->context.platform.interruptRead(table);
     }
 }
 
 void FleetSync::updateMetrics()
 {
     const TimePoint now = bootClockNow();
-    for (const auto &[table, state] : this->readStates) {
-        if (state.answeredAt) {
-            this->context.metrics.setGauge("store_age_ms_" + table,
-                                           static_cast<double>((now - *state.answeredAt).count()));
+    for (const Reader &reader : this->readers) {
+        if (const auto answeredAt = this->watch.answeredAt(reader.table)) {
+            this->context.metrics.setGauge("store_age_ms_" + reader.name,
+                                           static_cast<double>((now - *answeredAt).count()));
         }
     }
 }
 
-void FleetSync::setBounds(Milliseconds changeBound, Milliseconds leavingBound)
+void FleetSync::setBounds(const WatchBounds &bounds)
 {
-    // A long poll that the store never answers ends after its wait plus a margin; the next read takes a few ms.
-    constexpr Milliseconds readMargin{900};
-    constexpr Milliseconds minLongPollWait{500};
-    constexpr int readsPerBound = 3;
-    this->limits.ordersLongPollWait = std::max(minLongPollWait, std::min(changeBound, leavingBound) - readMargin);
-    this->limits.upstreamReadInterval = leavingBound / readsPerBound;
+    this->watch.setLimits(withBounds(this->limits.watch, bounds));
 }
 
 void FleetSync::updateClockOffset(const TableSnapshot &snapshot)
@@ -459,6 +440,7 @@
     while (true) {
         co_await sleepFor(this->limits.tickInterval);
         const TimePoint now = bootClockNow();
+        this->interruptReads();
         for (const UpstreamId &id : this->context.fleetView.upstreams.expire(now)) {
             this->context.log.line("upstream", {{"change", id.str() + " gone after its lapse"}});
         }
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -157,7 +157,8 @@
     this->context.budget.setBounds(
         {.ratio = bounds.repeatRatio, .window = bounds.repeatWindow, .slack = bounds.repeatSlack});
     this->context.sizes.minConfidence = this->settings.limits.minConfidence;
-    this->sync.setBounds(bounds.change, bounds.leaving);
+    this->sync.setBounds(
+        {.change = bounds.change, .leaving = bounds.leaving, .evidence = bounds.evidence, .stable = bounds.stable});
     this->sync.setShiftLimits(
         {.maxExposedShare = bounds.maxExposedShare, .sessionIdleTimeout = bounds.sessionIdleTimeout});
 }
--- a/tests/fakeplatform.h
+++ b/tests/fakeplatform.h
@@ -45,7 +45,7 @@
     bool isHistoryLost = false;
     unsigned fullReads = 0;
     unsigned writes = 0;
-    unsigned interruptCount = 0;
+    std::map<StoreTable, unsigned> interrupts; ///< calls of interruptRead()
     std::function<void(const Transaction &)> onTransact; ///< before a transaction is sent
 
     void put(StoreTable table, const std::string &name, const std::string &value)
@@ -105,9 +105,9 @@
         co_return snapshot;
     }
 
-    void interruptReads() override
+    void interruptRead(StoreTable table) override
     {
-        ++this->interruptCount;
+        ++this->interrupts[table];
     }
 
     asio::awaitable<TransactionOutcome> transact(Transaction transaction) override
@@ -214,14 +214,15 @@
     /// Waits for the answer to a read. @return false when the read fails, is interrupted or never answered
     asio::awaitable<bool> waitWhile(StoreTable table, Milliseconds wait, std::function<bool()> isQuiet)
     {
-        const unsigned interrupts = this->interruptCount;
+        const unsigned interruptsBefore = this->interrupts[table];
         bool isAnswerLost = false;
         Milliseconds waited{0};
         while (true) {
             co_await this->simulateLatency();
             waited += latency;
             isAnswerLost = isAnswerLost || this->isSilent;
-            if (this->isUnreachable || this->unreachableTables.contains(table) || this->interruptCount != interrupts) {
+            if (this->isUnreachable || this->unreachableTables.contains(table)
+                || this->interrupts[table] != interruptsBefore) {
                 co_return false;
             }
             if (isAnswerLost ? waited >= wait + answerMargin : waited >= wait || !isQuiet()) {
@@ -240,10 +241,10 @@
             : log(io, {.linesPerSecond = 0})
             , context{.io = io, .platform = platform, .metrics = this->metrics, .log = this->log, .zone = ZoneId("a")}
             , sync(this->context, InstanceId(name),
-                   {.upstreamReadInterval = Milliseconds(10),
-                    .fleetReadInterval = Milliseconds(10),
-                    .initialBackoff = Milliseconds(10),
-                    .maxBackoff = Milliseconds(20),
+                   {.watch = {.upstreamsInterval = Milliseconds(10),
+                              .fleetInterval = Milliseconds(10),
+                              .initialBackoff = Milliseconds(10),
+                              .maxBackoff = Milliseconds(20)},
                     .publishDelay = Milliseconds(10),
                     .tickInterval = Milliseconds(20)})
         {
--- a/tests/unit-net-fleetsync.cpp
+++ b/tests/unit-net-fleetsync.cpp
@@ -93,9 +93,14 @@
         rig.platform.put(StoreTable::Orders, "config", "3");
         auto &fleetView = rig.add("one").context.fleetView;
         CPPUNIT_ASSERT(rig.runUntil([&]() { return fleetView.table != nullptr; }));
-        rig.platform.isUnreachable = true;
+        // All tables are read in full by now, and the next reads wait for changes.
+        rig.io.run_for(std::chrono::milliseconds(100));
+        rig.platform.unreachableTables = {StoreTable::Orders};
         rig.io.run_for(std::chrono::milliseconds(200));
-        CPPUNIT_ASSERT_EQUAL(1U, rig.platform.interruptCount);
+        CPPUNIT_ASSERT_EQUAL(0U, rig.platform.interrupts[StoreTable::Orders]);
+        CPPUNIT_ASSERT_EQUAL(1U, rig.platform.interrupts[StoreTable::Upstreams]);
+        CPPUNIT_ASSERT_EQUAL(1U, rig.platform.interrupts[StoreTable::Status]);
+        CPPUNIT_ASSERT_EQUAL(1U, rig.platform.interrupts[StoreTable::Fleet]);
     }
 
     void anOrderIsStartedAndCompletedByOneInstance()
--- a/tests/unit-net-forward-teardown.cpp
+++ b/tests/unit-net-forward-teardown.cpp
@@ -57,7 +57,7 @@
         co_return TableSnapshot();
     }
 
-    void interruptReads() override
+    void interruptRead(StoreTable) override
     {
     }
 
--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -208,7 +208,7 @@
     {
         StoreRig rig({{"", true, true}});
         asio::steady_timer timer(rig.io, std::chrono::milliseconds(50));
-        timer.async_wait([&](const boost::system::error_code &) { rig.client.interruptReads(); });
+        timer.async_wait([&](const boost::system::error_code &) { rig.client.interruptRead(StoreTable::Orders); });
         const auto begun = std::chrono::steady_clock::now();
         const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(20000)));
         CPPUNIT_ASSERT(std::holds_alternative<Failure>(outcome));
