--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(rejectedWriteIsReportedAsNotSent);
     CPPUNIT_TEST(writeWithoutAnswerIsReportedAsIndeterminate);
     CPPUNIT_TEST(unansweredReadTimesOutAfterItsWait);
+    CPPUNIT_TEST(aTricklingAnswerEndsAtTheReadsTimeLimit);
     CPPUNIT_TEST(interruptedReadFailsImmediately);
     CPPUNIT_TEST_SUITE_END();
 
@@ -204,6 +205,29 @@
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(1500));
     }
 
+    void aTricklingAnswerEndsAtTheReadsTimeLimit()
+    {
+        ScriptedResponse trickle{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+        trickle.nextPiece = [](unsigned) {
+            return std::string("1\r\n \r\n");
+        };
+        trickle.pieceInterval = std::chrono::milliseconds(50);
+        StoreRig rig({trickle});
+        const auto begun = std::chrono::steady_clock::now();
+        std::optional<ChangesOutcome> outcome;
+        asio::co_spawn(
+            rig.io,
+            [&]() -> asio::awaitable<void> {
+                outcome = co_await rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100));
+            },
+            asio::detached);
+        while (!outcome && std::chrono::steady_clock::now() - begun < std::chrono::milliseconds(1500)) {
+            rig.io.run_one_for(std::chrono::milliseconds(10));
+        }
+        rig.io.stop();
+        CPPUNIT_ASSERT(outcome && std::holds_alternative<Failure>(*outcome));
+    }
+
     void interruptedReadFailsImmediately()
     {
         StoreRig rig({{"", true, true}});
