Write a report again that the store did not take

aReportThatCouldNotBeWrittenIsWrittenAfterTheOutage (unit-net-outage) failed before and passes. The retry backs off from the publish delay to the reads' longest backoff.

--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -411,9 +411,10 @@
 
 asio::awaitable<void> FleetSync::publish()
 {
+    Milliseconds backoff = this->limits.publishDelay;
     while (this->publishPending) {
         this->publishPending = false;
-        co_await sleepFor(this->limits.publishDelay);
+        co_await sleepFor(backoff);
         const FleetReport current = this->report();
         if (current == this->published) {
             continue;
@@ -428,8 +429,11 @@
         if (std::holds_alternative<TransactionCommitted>(outcome)) {
             this->published = current;
             this->isOwnReportKnown = true;
+            backoff = this->limits.publishDelay;
         } else {
             this->context.metrics.countEvent("report_not_written");
+            this->publishPending = true;
+            backoff = std::min(backoff * 2, std::max(this->limits.publishDelay, this->limits.watch.maxBackoff));
         }
     }
     this->publishing = false;
--- a/tests/fakeplatform.h
+++ b/tests/fakeplatform.h
@@ -116,6 +116,9 @@
             this->onTransact(transaction);
         }
         co_await this->simulateLatency();
+        if (this->isUnreachable) {
+            co_return TransactionNotSent{{.id = ErrorId::StoreUnavailable}};
+        }
         ++this->writes;
         for (const Transaction::Check &check : transaction.checks) {
             const auto found = this->rows.find(check.key);
--- a/tests/unit-net-outage.cpp
+++ b/tests/unit-net-outage.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(OutageTest);
     CPPUNIT_TEST(anUpstreamThatLeavesAfterASilentOutageIsKnownWithinTheStableWindow);
+    CPPUNIT_TEST(aReportThatCouldNotBeWrittenIsWrittenAfterTheOutage);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -28,6 +29,23 @@
         CPPUNIT_ASSERT(fleetView.upstreams.find(UpstreamId("u"))->entry.version == VersionName("v2"));
     }
 
+    void aReportThatCouldNotBeWrittenIsWrittenAfterTheOutage()
+    {
+        FleetRig rig;
+        auto &one = rig.add("one").context;
+        auto &two = rig.add("two").context;
+        rig.io.run_for(std::chrono::milliseconds(100));
+        rig.platform.isUnreachable = true;
+        for (const char *site : {"a@1", "b@1", "c@1"}) {
+            one.fleetView.crashes.onLost({Fingerprint("p")}, site, bootClockNow());
+        }
+        one.evidenceChanged();
+        rig.io.run_for(std::chrono::milliseconds(200));
+        rig.platform.isUnreachable = false;
+        rig.io.run_for(stableWindow);
+        CPPUNIT_ASSERT(two.fleetView.crashes.blockedOf({Fingerprint("p")}));
+    }
+
 private:
     static constexpr Milliseconds stableWindow{3000};
 };
