Extend the limit of a store's answer with the bytes that arrive

Cause: a cut instance came back to a store with a configuration of 1,709 routes, at the start of a burst.

aLongAnswerMayTakeLongerThanTheReadsTimeLimit (unit-net-platform) failed without the lowest rate and passes; aTricklingAnswerEndsAtTheReadsTimeLimit still holds.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -88,6 +88,9 @@
     /// @brief Sets one time limit for all later sends and reads together, however many bytes arrive; also sets the
     /// progress limit.
     void setTotalLimit(Milliseconds limit) noexcept;
+    /// @brief Extends the limit of setTotalLimit() for each part of a body that arrives, so that a long answer may take
+    /// longer than a short one; 0 extends nothing. @param bytesPerSecond lowest rate of the whole body
+    void setMinRate(std::size_t bytesPerSecond) noexcept;
     /// @brief Sets a handler that is called when a time limit expires; an empty one removes it.
     ///
     /// The handler returns by how much the limit is extended. With 0, or without a handler, the connection is closed.
@@ -146,6 +149,7 @@
     boost::asio::steady_timer::time_point deadline;
     std::chrono::steady_clock::time_point armedDeadline;
     std::chrono::steady_clock::time_point totalDeadline = std::chrono::steady_clock::time_point::max();
+    std::size_t minBytesPerSecond = 0;
     std::function<Milliseconds()> timeoutHandler;
     bool isWaiting = false; ///< a connect, send or read is in progress
     bool isWatchdogActive = false;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -121,6 +121,11 @@
     this->totalDeadline = std::chrono::steady_clock::now() + limit;
 }
 
+void HttpCall::setMinRate(std::size_t bytesPerSecond) noexcept
+{
+    this->minBytesPerSecond = bytesPerSecond;
+}
+
 void HttpCall::onTimeout(std::function<Milliseconds()> handler)
 {
     this->timeoutHandler = std::move(handler);
@@ -232,6 +237,9 @@
         this->isWaiting = false;
         const std::size_t filled = this->readBuffer.size() - this->parser->get().body().size;
         if (filled > 0) {
+            if (this->minBytesPerSecond > 0) {
+                this->totalDeadline += std::chrono::microseconds(std::micro::den * filled / this->minBytesPerSecond);
+            }
             co_return std::string(this->readBuffer.data(), filled);
         }
         if (error && error != http::error::need_buffer) {
--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(writeWithoutAnswerIsReportedAsIndeterminate);
     CPPUNIT_TEST(unansweredReadTimesOutAfterItsWait);
     CPPUNIT_TEST(aTricklingAnswerEndsAtTheReadsTimeLimit);
+    CPPUNIT_TEST(aLongAnswerMayTakeLongerThanTheReadsTimeLimit);
     CPPUNIT_TEST(interruptedReadFailsImmediately);
     CPPUNIT_TEST_SUITE_END();
 
@@ -228,6 +229,23 @@
         CPPUNIT_ASSERT(outcome && std::holds_alternative<Failure>(*outcome));
     }
 
+    void aLongAnswerMayTakeLongerThanTheReadsTimeLimit()
+    {
+        constexpr std::size_t pieceBytes = 16384;
+        constexpr unsigned pieces = 15;
+        ScriptedResponse slow{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"};
+        slow.nextPiece = [](unsigned number) {
+            if (number == pieces) {
+                return std::string("19\r\n{\"rows\":[],\"ver\":9,\"x\":1}\r\n0\r\n\r\n");
+            }
+            return number < pieces ? "4000\r\n" + std::string(pieceBytes, ' ') + "\r\n" : std::string();
+        };
+        slow.pieceInterval = std::chrono::milliseconds(100);
+        StoreRig rig({slow});
+        const auto outcome = rig.run(rig.client.readChanges(StoreTable::Orders, 2, Milliseconds(100)));
+        CPPUNIT_ASSERT(std::holds_alternative<TableSnapshot>(outcome));
+    }
+
     void interruptedReadFailsImmediately()
     {
         StoreRig rig({{"", true, true}});
