Read all tables in full when the store was restored from a copy

Cause: a restored store gives its versions out again. A reader that continued at its version got no 410 and missed what had been written up to it. Class: a position that is used against another history than its own.

Fix: the store names an era in all its answers.

Ruled out: the change was read and discarded (no line says so); a silent connection (the reads were answered within 9 ms).

While the operator's table is lost, the others' reads don't wait long: without it an era could be noticed late.

--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -58,6 +58,10 @@
     /// Reads once and applies the answer. Returns the pause until the next read.
     boost::asio::awaitable<Milliseconds> readOnce(const Reader &reader, LastReason &reason);
     Milliseconds onReadFailed(StoreTable table);
+    /// After a restore of the store, has all tables read in full and this instance's report written again.
+    void updateEra();
+    /// Whether the full read is the table's first one since the store was restored.
+    bool isRestored(StoreTable table, const TableSnapshot &snapshot) const;
     /// Ends the pending reads that must be repeated.
     void interruptReads();
     boost::asio::awaitable<void> tickLoop();
@@ -65,12 +69,17 @@
     boost::asio::awaitable<void> advanceRollout(ServiceName service);
     boost::asio::awaitable<void> startRollout(RolloutOrder order);
     boost::asio::awaitable<void> endRollout(RolloutOrder order);
+    /// Whether the store lacks the agreed state of the service's order.
+    bool isStatusMissing(const ServiceName &service) const;
+    /// Writes the agreed state of an order that the store lacks.
+    boost::asio::awaitable<void> restoreStatus(RolloutOrder order);
     void evaluateVersion(const RolloutOrder &order);
     Milliseconds writeDelay();
     boost::asio::awaitable<void> writeStatus(RolloutStatus status);
     void applyOrders(const TableSnapshot &snapshot);
     void replaceUpstreams(const TableSnapshot &snapshot);
     void applyUpstreamChanges(const TableSnapshot &snapshot);
+    void replaceStatus(const TableSnapshot &snapshot);
     void applyStatus(const TableSnapshot &snapshot);
     void mergeReports(const TableSnapshot &snapshot);
     /// Logs whether the table was lost or regained, and tells the list of upstreams.
@@ -91,6 +100,9 @@
     std::function<void()> configured;
     StoreWatch watch;
     std::vector<Reader> readers;
+    std::map<StoreTable, std::uint64_t> readEras; ///< era of each table's latest full read
+    std::map<ServiceName, std::uint64_t> orderEras; ///< era in which the current order was last read
+    std::map<ServiceName, RolloutStatus> recordedStatus; ///< as last read from the store, or written
     std::map<std::string, std::uint64_t> statusVersions; ///< row versions of the roll-out statuses, by key
     Milliseconds storeClockOffset{0}; ///< the store's steady clock minus this machine's
     bool isClockOffsetKnown = false;
--- a/include/parsleyvane/forward/platformport.h
+++ b/include/parsleyvane/forward/platformport.h
@@ -72,6 +72,7 @@
     std::vector<std::string> removed; ///< keys of removed rows, in a list of changes
     std::uint64_t version = 0; ///< the next changes are read after this version
     Milliseconds storeTime{0}; ///< on the store's steady clock
+    std::uint64_t era = 0; ///< of the store; versions of different eras are not comparable
 };
 
 /// @brief The store no longer holds the requested changes; the table must be read in full.
@@ -101,6 +102,8 @@
     virtual void interruptRead(StoreTable table) = 0;
     /// @brief Writes rows if the checked rows still have the given versions.
     virtual boost::asio::awaitable<TransactionOutcome> transact(Transaction transaction) = 0;
+    /// @brief The newest era that any answer of the store has named; 0 before the first.
+    virtual std::uint64_t storeEra() const = 0;
     /// @brief The key of a row in a transaction.
     virtual std::string rowKey(StoreTable table, const std::string &name) const = 0;
 
--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -69,11 +69,14 @@
     Milliseconds maxBackoff{8000}; ///< a crashed upstream restarts within some seconds
     Milliseconds refusedBackoff{150}; ///< a full upstream frees a slot after about one request
     double failureWeight = 0.15; ///< of the latest attempt in the moving average
+    Milliseconds departedMemory{300000}; ///< a copy of the store's list is younger than this
 };
 
 /**
  * @brief The list of upstreams. Complexity: logarithmic in the upstreams unless said otherwise.
  *
+ * A process that was draining stays so, whatever its entry says later: the entry may come from an older copy.
+ *
  * An entry without the draining mark that is removed during a store outage, or soon after one, is kept for a grace
  * period after the outage: the upstream may only have been unable to renew it.
  */
@@ -85,12 +88,15 @@
 
     // modifiers
     /// @brief Applies a written entry. @return the change for the log, or empty
-    std::string update(const UpstreamEntry &entry);
+    std::string update(const UpstreamEntry &written);
     /// @brief Applies the removal of an entry. @return as update()
     std::string remove(const UpstreamId &id, TimePoint now);
     /// @brief Applies a full read of the list: entries that are not in it are removed. Complexity: linear.
     /// @return each change as id and change
     std::vector<std::string> replace(const std::vector<UpstreamEntry> &entries, TimePoint now);
+    /// @brief Applies a full read of a list that was restored from a copy: as replace(), but a process that had left is
+    /// not listed again, and entries that the copy lacks are kept for the grace period.
+    std::vector<std::string> replaceRestored(const std::vector<UpstreamEntry> &entries, TimePoint now);
     /// @brief Starts an outage: entries that lapse from now on are kept for the grace period.
     void onStoreUnreachable();
     /// @brief Ends an outage; the grace period starts now.
@@ -119,12 +125,14 @@
     using Process = std::tuple<UpstreamId, std::int64_t, std::string>;
 
     static Process processOf(const UpstreamEntry &entry);
+    void erase(const UpstreamId &id, TimePoint now);
     RegisteredUpstream *findProcess(const UpstreamEntry &target);
     unsigned attemptsAt(const UpstreamEntry &target) const;
 
     UpstreamListLimits limits;
     std::map<UpstreamId, RegisteredUpstream> upstreams;
     std::map<Process, unsigned> attempts; ///< in flight, also at processes that are no longer registered
+    std::map<Process, TimePoint> departed; ///< processes whose entries were removed, and when
     bool storeUnreachable = false;
     TimePoint storeReachableSince{};
 };
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -118,7 +118,11 @@
     void setLimits(const ShiftLimits &newLimits);
     /// @brief Starts a roll-out and discards the evidence of the one before. @return whether the order is a new one
     bool onOrder(const RolloutOrder &newOrder);
-    /// @brief Applies the agreed state; one of an older order is ignored.
+    /// @brief Applies an order that was read after the store was restored from a copy: the current one may have a new
+    /// number now, and the one before it may be in its place until the operator has written it again.
+    /// @return whether it is a new order
+    bool onRestoredOrder(const RolloutOrder &restored);
+    /// @brief Applies the agreed state; one of an older order is ignored, and so is one that takes back a decision.
     /// @param startedAt start of the roll-out by this instance's clock
     void onStatus(const RolloutStatus &newStatus, TimePoint startedAt);
     /// @brief Chooses the version for a request and remembers it for the session.
@@ -152,6 +156,10 @@
     {
         return this->current;
     }
+    /// @brief Whether a status records the agreed state of the current order.
+    bool isRecordedBy(const RolloutStatus &recorded) const;
+    /// @brief The agreed state of the current order, and the start of the roll-out by this instance's clock.
+    std::optional<std::pair<RolloutState, TimePoint>> agreed() const;
     /// @brief The agreed state of the current order; empty until an instance has written it.
     std::optional<RolloutState> state() const noexcept;
     RolloutPhase phase() const noexcept;
@@ -198,6 +206,7 @@
 
     ShiftLimits limits;
     std::optional<RolloutOrder> current;
+    std::optional<RolloutOrder> previous;
     std::optional<RolloutStatus> status;
     TimePoint startedAt{};
     std::map<std::string, SessionPlacement> sessions;
--- a/include/parsleyvane/store/storewatch.h
+++ b/include/parsleyvane/store/storewatch.h
@@ -67,6 +67,9 @@
  * table's wait is repeated once any answer shows a newer version; a read that follows a failure does not wait for
  * changes; and the first failure at one table interrupts the waiting reads of the others, which may have lost their
  * answers too. That a table answers again is no sign that the others do.
+ *
+ * A store that was restored from a copy gives versions out again, so a reader that continued at its version would miss
+ * what lies before. It names a newer era, from which on no version of the era before is used.
  */
 class StoreWatch
 {
@@ -81,6 +84,11 @@
     /// @brief Ends the table's read with an answer. @param version the next changes are read after this version
     /// @return the pause until the next read
     Milliseconds onAnswer(StoreTable table, std::uint64_t version, TimePoint now);
+    /// @brief Applies the era that an answer of the store names. A newer one shows that the store was restored from a
+    /// copy: all tables are read in full again. @return whether it is newer
+    bool onEra(std::uint64_t era);
+    /// @brief Ends the table's read with an answer that is not current. @return the pause until the next read
+    Milliseconds onOutdatedAnswer(StoreTable table);
     /// @brief Ends the table's read: the store no longer holds the changes. The next read is a full one.
     /// @return the pause until the next read
     Milliseconds onHistoryLost(StoreTable table, TimePoint now);
@@ -92,6 +100,9 @@
     std::vector<StoreTable> takeInterrupts(TimePoint now);
 
     // observers
+    /// @brief Whether the answer to the table's pending read may be applied: it is of the newest era, and so is the
+    /// version after which the read asked for changes.
+    bool isCurrent(StoreTable table, std::uint64_t answerEra) const;
     /// @brief Whether the table's latest read was answered; interrupted ones don't count.
     bool isReachable(StoreTable table) const;
     /// @brief When the table's latest answer arrived.
@@ -117,11 +128,13 @@
         NextWait nextWait = NextWait::Idle;
         Milliseconds backoff{0}; ///< before the latest retry; 0 after an answer
         bool isPending = false;
+        bool isFullRead = false; ///< the latest read
         bool isReachable = true;
         bool isInterrupted = false; ///< the pending read is to be ended
         bool isInterruptTaken = false;
     };
 
+    static void interrupt(State &state);
     Milliseconds boundedWait(StoreTable table) const;
     Milliseconds waitOf(StoreTable table, const State &state) const;
     Milliseconds intervalOf(StoreTable table) const;
@@ -129,7 +142,8 @@
 
     WatchLimits limits;
     std::map<StoreTable, State> states;
-    std::uint64_t newestVersion = 0; ///< of all answers
+    std::uint64_t newestVersion = 0; ///< of all answers of the era
+    std::optional<std::uint64_t> era; ///< empty until the store has answered
 };
 
 } // namespace parsleyvane
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -20,8 +20,13 @@
 {
 }
 
-std::string UpstreamList::update(const UpstreamEntry &entry)
+std::string UpstreamList::update(const UpstreamEntry &written)
 {
+    UpstreamEntry entry = written;
+    this->departed.erase(processOf(entry));
+    if (const RegisteredUpstream *known = this->findProcess(entry)) {
+        entry.draining = entry.draining || known->entry.draining;
+    }
     const auto [found, isNew] = this->upstreams.try_emplace(entry.id);
     RegisteredUpstream &upstream = found->second;
     upstream.missingSince.reset();
@@ -58,7 +63,7 @@
         found->second.missingSince = now;
         return "lapsed";
     }
-    this->upstreams.erase(found);
+    this->erase(id, now);
     return "removed";
 }
 
@@ -86,6 +91,26 @@
     return changes;
 }
 
+std::vector<std::string> UpstreamList::replaceRestored(const std::vector<UpstreamEntry> &entries, TimePoint now)
+{
+    this->storeUnreachable = false;
+    this->storeReachableSince = now;
+    std::vector<UpstreamEntry> listed;
+    for (const UpstreamEntry &entry : entries) {
+        if (!this->departed.contains(processOf(entry))) {
+            listed.push_back(entry);
+        }
+    }
+    return this->replace(listed, now);
+}
+
+void UpstreamList::erase(const UpstreamId &id, TimePoint now)
+{
+    const auto found = this->upstreams.find(id);
+    this->departed[processOf(found->second.entry)] = now;
+    this->upstreams.erase(found);
+}
+
 void UpstreamList::onStoreUnreachable()
 {
     this->storeUnreachable = true;
@@ -111,8 +136,9 @@
         }
     }
     for (const UpstreamId &id : expired) {
-        this->upstreams.erase(id);
+        this->erase(id, now);
     }
+    std::erase_if(this->departed, [&](const auto &entry) { return now - entry.second > this->limits.departedMemory; });
     return expired;
 }
 
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <iomanip>
 #include <sstream>
+#include <utility>
 
 namespace parsleyvane {
 
@@ -30,6 +31,20 @@
     return static_cast<double>(rendezvousWeight("session", session)) / range;
 }
 
+/// Of two states of one order, the one with the higher finality holds: at completion the old version's upstreams stop.
+int finality(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Running:
+        return 0;
+    case RolloutState::RolledBack:
+        return 1;
+    case RolloutState::Completed:
+        break;
+    }
+    return 2;
+}
+
 VersionEvidence evidenceOf(const AnswerCounts &counts)
 {
     return {.served = counts.served, .errors = counts.bad};
@@ -89,7 +104,7 @@
     if (this->current == newOrder) {
         return false;
     }
-    this->current = newOrder;
+    this->previous = std::exchange(this->current, newOrder);
     this->ownAnswers.clear();
     this->otherReports.clear();
     this->firstEventTest.restart();
@@ -104,15 +119,48 @@
     return true;
 }
 
+bool VersionShift::onRestoredOrder(const RolloutOrder &restored)
+{
+    if (this->current && this->previous == restored) {
+        return false;
+    }
+    RolloutOrder renumbered = restored;
+    renumbered.number = this->current ? this->current->number : 0;
+    if (this->current != renumbered) {
+        return this->onOrder(restored);
+    }
+    if (this->status && this->status->order == this->current->number) {
+        this->status->order = restored.number;
+    }
+    this->current->number = restored.number;
+    return false;
+}
+
 void VersionShift::onStatus(const RolloutStatus &newStatus, TimePoint started)
 {
     if (this->current && newStatus.order < this->current->number) {
         return;
     }
+    const bool isSameOrder = this->status && this->status->order == newStatus.order;
+    if (isSameOrder && finality(newStatus.state) < finality(this->status->state)) {
+        return;
+    }
     this->status = newStatus;
     this->startedAt = started;
 }
 
+bool VersionShift::isRecordedBy(const RolloutStatus &recorded) const
+{
+    return this->current && recorded.order == this->current->number
+        && (!this->state() || finality(recorded.state) >= finality(*this->state()));
+}
+
+std::optional<std::pair<RolloutState, TimePoint>> VersionShift::agreed() const
+{
+    const auto known = this->state();
+    return known ? std::optional(std::pair(*known, this->startedAt)) : std::nullopt;
+}
+
 std::optional<RolloutState> VersionShift::state() const noexcept
 {
     if (!this->current || !this->status || this->status->order != this->current->number) {
--- a/src/core/storewatch.cpp
+++ b/src/core/storewatch.cpp
@@ -41,12 +41,36 @@
     state.wait = this->waitOf(table, state);
     state.nextWait = NextWait::Idle;
     state.isPending = true;
+    state.isFullRead = !state.version;
     state.isInterrupted = false;
     state.isInterruptTaken = false;
     state.begunAt = now;
     return {.after = state.version, .wait = state.wait};
 }
 
+bool StoreWatch::onEra(std::uint64_t newEra)
+{
+    const bool isNewer = this->era && newEra > *this->era;
+    this->era = std::max(this->era.value_or(newEra), newEra);
+    if (!isNewer) {
+        return false;
+    }
+    this->newestVersion = 0;
+    for (auto &[table, state] : this->states) {
+        state.version.reset();
+        interrupt(state);
+    }
+    return true;
+}
+
+Milliseconds StoreWatch::onOutdatedAnswer(StoreTable table)
+{
+    State &state = this->states.at(table);
+    state.isPending = false;
+    state.nextWait = NextWait::None;
+    return this->limits.initialBackoff;
+}
+
 Milliseconds StoreWatch::onAnswer(StoreTable table, std::uint64_t version, TimePoint now)
 {
     State &state = this->states.at(table);
@@ -84,10 +108,7 @@
             if (other == table) {
                 continue;
             }
-            otherState.nextWait = NextWait::None;
-            // A read that doesn't wait for changes ends soon by itself.
-            otherState.isInterrupted
-                = otherState.isInterrupted || (otherState.isPending && otherState.wait.count() > 0);
+            interrupt(otherState);
         }
     }
     state.backoff = state.backoff.count() == 0 ? this->limits.initialBackoff
@@ -95,6 +116,13 @@
     return Milliseconds(static_cast<std::int64_t>(jitter * static_cast<double>(state.backoff.count())));
 }
 
+void StoreWatch::interrupt(State &state)
+{
+    state.nextWait = NextWait::None;
+    // A read that doesn't wait for changes ends soon by itself.
+    state.isInterrupted = state.isInterrupted || (state.isPending && state.wait.count() > 0);
+}
+
 std::vector<StoreTable> StoreWatch::takeInterrupts(TimePoint now)
 {
     std::vector<StoreTable> taken;
@@ -119,6 +147,12 @@
         && this->newestVersion > state.version.value_or(0);
 }
 
+bool StoreWatch::isCurrent(StoreTable table, std::uint64_t answerEra) const
+{
+    const State &state = this->states.at(table);
+    return answerEra == this->era && (state.isFullRead || state.version);
+}
+
 bool StoreWatch::isReachable(StoreTable table) const
 {
     return this->states.at(table).isReachable;
@@ -156,7 +190,8 @@
     if (!state.version || state.nextWait == NextWait::None) {
         return Milliseconds(0);
     }
-    const bool isIdle = table != StoreTable::Orders && state.nextWait == NextWait::Idle;
+    const bool isOrdersRead = this->states.at(StoreTable::Orders).isReachable;
+    const bool isIdle = table != StoreTable::Orders && state.nextWait == NextWait::Idle && isOrdersRead;
     return isIdle ? std::max(this->limits.idleWait, this->boundedWait(table)) : this->boundedWait(table);
 }
 
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -57,7 +57,7 @@
     this->readers = {
         Reader{StoreTable::Orders, "orders", &FleetSync::applyOrders, &FleetSync::applyOrders},
         Reader{StoreTable::Upstreams, "upstreams", &FleetSync::replaceUpstreams, &FleetSync::applyUpstreamChanges},
-        Reader{StoreTable::Status, "status", &FleetSync::applyStatus, &FleetSync::applyStatus},
+        Reader{StoreTable::Status, "status", &FleetSync::replaceStatus, &FleetSync::applyStatus},
         Reader{StoreTable::Fleet, "fleet", &FleetSync::mergeReports, &FleetSync::mergeReports},
     };
     for (const Reader &reader : this->readers) {
@@ -93,16 +93,25 @@
     const TableRead read = this->watch.beginRead(reader.table, bootClockNow());
     if (!read.after) {
         const auto snapshot = co_await this->context.platform.readTable(reader.table, reason);
+        this->updateEra();
         if (!snapshot) {
             co_return this->onReadFailed(reader.table);
         }
+        if (!this->watch.isCurrent(reader.table, snapshot->era)) {
+            co_return this->watch.onOutdatedAnswer(reader.table);
+        }
         const Milliseconds pause = this->watch.onAnswer(reader.table, snapshot->version, bootClockNow());
         this->updateClockOffset(*snapshot);
         (this->*reader.applyTable)(*snapshot);
+        this->readEras[reader.table] = snapshot->era;
         co_return pause;
     }
     const ChangesOutcome outcome = co_await this->context.platform.readChanges(reader.table, *read.after, read.wait);
+    this->updateEra();
     if (const auto *snapshot = std::get_if<TableSnapshot>(&outcome)) {
+        if (!this->watch.isCurrent(reader.table, snapshot->era)) {
+            co_return this->watch.onOutdatedAnswer(reader.table);
+        }
         const Milliseconds pause = this->watch.onAnswer(reader.table, snapshot->version, bootClockNow());
         this->updateClockOffset(*snapshot);
         (this->*reader.applyChanges)(*snapshot);
@@ -117,6 +126,25 @@
     co_return this->onReadFailed(reader.table);
 }
 
+void FleetSync::updateEra()
+{
+    const std::uint64_t era = this->context.platform.storeEra();
+    if (!this->watch.onEra(era)) {
+        return;
+    }
+    this->context.metrics.countEvent("store_restored");
+    this->context.log.line("store_restored", {{"era", static_cast<std::int64_t>(era)}});
+    this->published = FleetReport();
+    this->context.evidenceChanged();
+    this->interruptReads();
+}
+
+bool FleetSync::isRestored(StoreTable table, const TableSnapshot &snapshot) const
+{
+    const auto found = this->readEras.find(table);
+    return found != this->readEras.end() && found->second < snapshot.era;
+}
+
 Milliseconds FleetSync::onReadFailed(StoreTable table)
 {
     // The jitter keeps the instances from retrying at the same moment when the store is reachable again.
@@ -219,13 +247,18 @@
             const auto &rollout = std::get<RolloutOrder>(*order);
             VersionShift &shift = shiftOf(this->context, rollout.service);
             shift.setLimits(this->shiftLimits);
-            if (shift.onOrder(rollout)) {
+            const auto orderEra = this->orderEras.find(rollout.service);
+            const bool isRestored = orderEra != this->orderEras.end() && orderEra->second < snapshot.era;
+            if (isRestored ? shift.onRestoredOrder(rollout) : shift.onOrder(rollout)) {
                 this->context.log.line("rollout_order",
                                        {{"service", rollout.service.str()},
                                         {"to", rollout.to.str()},
                                         {"duration", rollout.duration.count()},
                                         {"number", static_cast<std::int64_t>(rollout.number)}});
             }
+            if (shift.order() == rollout) {
+                this->orderEras[rollout.service] = snapshot.era;
+            }
         }
     }
     fleetView.tableConfirmedAt = bootClockNow();
@@ -247,7 +280,10 @@
         this->context.fleetView.upstreamsKnown = true;
     }
     this->context.fleetView.upstreamsReadAt = now;
-    for (const std::string &change : this->context.fleetView.upstreams.replace(entries, now)) {
+    UpstreamList &upstreams = this->context.fleetView.upstreams;
+    const bool restored = this->isRestored(StoreTable::Upstreams, snapshot);
+    for (const std::string &change :
+         restored ? upstreams.replaceRestored(entries, now) : upstreams.replace(entries, now)) {
         this->context.log.line("upstream",
                                {{"change", change}, {"list_version", static_cast<std::int64_t>(snapshot.version)}});
     }
@@ -284,6 +320,13 @@
     this->context.fleetView.upstreamsReadAt = now;
 }
 
+void FleetSync::replaceStatus(const TableSnapshot &snapshot)
+{
+    this->statusVersions.clear();
+    this->recordedStatus.clear();
+    this->applyStatus(snapshot);
+}
+
 void FleetSync::applyStatus(const TableSnapshot &snapshot)
 {
     for (const TableRow &row : snapshot.rows) {
@@ -294,6 +337,7 @@
             this->context.log.line("status_unreadable", {{"row", row.key}, {"detail", reason.failure().detail}});
             continue;
         }
+        this->recordedStatus[status->service] = *status;
         VersionShift &shift = shiftOf(this->context, status->service);
         shift.setLimits(this->shiftLimits);
         shift.onStatus(*status, this->localTime(status->startedAt));
@@ -430,6 +474,7 @@
             this->published = current;
             this->isOwnReportKnown = true;
             backoff = this->limits.publishDelay;
+            this->updateEra();
         } else {
             this->context.metrics.countEvent("report_not_written");
             this->publishPending = true;
@@ -470,6 +515,8 @@
     const RolloutOrder order = *shift.order();
     if (!shift.state()) {
         co_await this->startRollout(order);
+    } else if (this->isStatusMissing(service)) {
+        co_await this->restoreStatus(order);
     } else {
         this->evaluateVersion(order);
     }
@@ -488,6 +535,35 @@
     }
 }
 
+bool FleetSync::isStatusMissing(const ServiceName &service) const
+{
+    const auto orderEra = this->orderEras.find(service);
+    const auto statusEra = this->readEras.find(StoreTable::Status);
+    const std::uint64_t era = this->context.platform.storeEra();
+    const bool isKnown = orderEra != this->orderEras.end() && orderEra->second == era
+        && statusEra != this->readEras.end() && statusEra->second == era;
+    if (!isKnown) {
+        return false;
+    }
+    const auto recorded = this->recordedStatus.find(service);
+    return recorded == this->recordedStatus.end()
+        || !this->context.fleetView.shifts.at(service).isRecordedBy(recorded->second);
+}
+
+asio::awaitable<void> FleetSync::restoreStatus(RolloutOrder order)
+{
+    // The instance with the shortest random delay writes.
+    co_await sleepFor(this->writeDelay());
+    const VersionShift &shift = shiftOf(this->context, order.service);
+    const auto agreed = shift.agreed();
+    if (shift.order() != order || !agreed || !this->isStatusMissing(order.service)) {
+        co_return;
+    }
+    RolloutStatus status{.service = order.service, .to = order.to, .state = agreed->first, .order = order.number};
+    status.startedAt = agreed->second.time_since_epoch() + this->storeClockOffset;
+    co_await this->writeStatus(std::move(status));
+}
+
 asio::awaitable<void> FleetSync::startRollout(RolloutOrder order)
 {
     const VersionShift &shift = shiftOf(this->context, order.service);
@@ -532,6 +608,7 @@
     transaction.checks.push_back({key, this->statusVersions[key]});
     transaction.puts.push_back({key, std::move(text)});
     const TransactionOutcome outcome = co_await this->context.platform.transact(std::move(transaction));
+    this->updateEra();
     const std::string result = std::visit(
         Overloaded{[](const TransactionCommitted &) { return std::string("written"); },
                    [](const TransactionConflict &) { return std::string("another instance was first"); },
@@ -546,11 +623,14 @@
                             {"state", stateName(status.state)},
                             {"outcome", result}});
     if (const auto *conflict = std::get_if<TransactionConflict>(&outcome)) {
+        // Without a row in the answer, the store has none.
+        this->statusVersions[key] = 0;
         TableSnapshot current{.rows = conflict->rows};
         this->applyStatus(current);
         co_return;
     }
     if (std::holds_alternative<TransactionCommitted>(outcome)) {
+        this->recordedStatus[status.service] = status;
         shiftOf(this->context, status.service).onStatus(status, this->localTime(status.startedAt));
         // The row's new version arrives with the table's changes; no further decision is made before that.
         co_await sleepFor(this->limits.tickInterval);
--- a/tests/fakeplatform.h
+++ b/tests/fakeplatform.h
@@ -45,9 +45,33 @@
     bool isHistoryLost = false;
     unsigned fullReads = 0;
     unsigned writes = 0;
+    std::uint64_t era = 1;
+    std::uint64_t namedEra = 0; ///< in the latest answer
     std::map<StoreTable, unsigned> interrupts; ///< calls of interruptRead()
     std::function<void(const Transaction &)> onTransact; ///< before a transaction is sent
 
+    /// Rows, history and version as of one moment.
+    struct Copy
+    {
+        std::vector<Change> history;
+        std::map<std::string, TableRow> rows;
+        std::uint64_t version = 0;
+    };
+
+    Copy copy() const
+    {
+        return {this->history, this->rows, this->version};
+    }
+
+    /// Versions go back, and the era rises.
+    void restore(const Copy &copy)
+    {
+        this->history = copy.history;
+        this->rows = copy.rows;
+        this->version = copy.version;
+        ++this->era;
+    }
+
     void put(StoreTable table, const std::string &name, const std::string &value)
     {
         TableRow row{this->rowKey(table, name), ++this->version, value};
@@ -68,7 +92,7 @@
         if (!co_await this->waitWhile(table, Milliseconds(0), []() { return false; })) {
             co_return reason.fail({.id = ErrorId::StoreUnavailable});
         }
-        TableSnapshot snapshot{.version = this->version, .storeTime = now()};
+        TableSnapshot snapshot{.version = this->version, .storeTime = now(), .era = this->era};
         for (const auto &[key, row] : this->rows) {
             if (key.starts_with(this->rowKey(table, ""))) {
                 snapshot.rows.push_back(row);
@@ -91,7 +115,10 @@
         if (this->isHistoryLost) {
             co_return HistoryLost{};
         }
-        TableSnapshot snapshot{.version = this->version, .storeTime = now()};
+        if (after > this->version) {
+            co_return HistoryLost{};
+        }
+        TableSnapshot snapshot{.version = this->version, .storeTime = now(), .era = this->era};
         for (const Change &change : this->history) {
             if (change.table != table || change.row.version <= after) {
                 continue;
@@ -120,6 +147,7 @@
             co_return TransactionNotSent{{.id = ErrorId::StoreUnavailable}};
         }
         ++this->writes;
+        this->namedEra = this->era;
         for (const Transaction::Check &check : transaction.checks) {
             const auto found = this->rows.find(check.key);
             const std::uint64_t current = found != this->rows.end() ? found->second.version : 0;
@@ -139,6 +167,11 @@
         co_return TransactionCommitted{};
     }
 
+    std::uint64_t storeEra() const override
+    {
+        return this->namedEra;
+    }
+
     std::string rowKey(StoreTable table, const std::string &name) const override
     {
         const std::map<StoreTable, std::string> names = {{StoreTable::Orders, "orders"},
@@ -166,7 +199,8 @@
         }
         return UpstreamEntry{.id = UpstreamId(row.key.substr(row.key.find('/') + 1)),
                              .service = ServiceName("s"),
-                             .version = VersionName(row.value)};
+                             .version = VersionName(row.value),
+                             .draining = row.value == "draining"};
     }
 
     std::optional<RolloutStatus> readStatus(const TableRow &row, LastReason &) const override
@@ -229,6 +263,7 @@
                 co_return false;
             }
             if (isAnswerLost ? waited >= wait + answerMargin : waited >= wait || !isQuiet()) {
+                this->namedEra = isAnswerLost ? this->namedEra : this->era;
                 co_return !isAnswerLost;
             }
         }
--- a/tests/unit-net-forward-teardown.cpp
+++ b/tests/unit-net-forward-teardown.cpp
@@ -57,6 +57,11 @@
         co_return TableSnapshot();
     }
 
+    std::uint64_t storeEra() const override
+    {
+        return 0;
+    }
+
     void interruptRead(StoreTable) override
     {
     }
--- a/tests/unit-storewatch.cpp
+++ b/tests/unit-storewatch.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <random>
+#include <tuple>
 
 namespace parsleyvane {
 
@@ -50,7 +52,7 @@
         }
     }
 
-    /// The longest time, by table, that a change was unknown while no fault was younger than the stable window.
+    /// The longest time, by table, that a change was unknown after the last fault of its table and the operator's.
     std::map<StoreTable, Milliseconds> blindFor;
     std::size_t reads = 0;
 
@@ -71,16 +73,27 @@
         TimePoint begunAt{};
         std::optional<TimePoint> answerAt; ///< the store has sent the answer
         std::uint64_t answerVersion = 0;
+        std::uint64_t answerEra = 0;
+        std::uint64_t answerContent = 0;
+        bool isHistoryLost = false;
         bool isAnswerLost = false;
-        std::uint64_t knownVersion = 0;
+        std::uint64_t knownContent = 0;
         // the store's side
-        std::uint64_t changedVersion = 0;
-        std::optional<TimePoint> unknownSince; ///< when the oldest change was made that is not known yet
+        std::uint64_t content = 0; ///< identifies the table's latest change
+        std::uint64_t changedVersion = 0; ///< of that change
+        std::deque<std::pair<std::uint64_t, TimePoint>> unknown; ///< changes that are not known yet, and their times
         TimePoint silentUntil{};
         TimePoint refusedUntil{};
         TimePoint lastFault = start - Milliseconds(10000);
     };
 
+    /// A copy of the store.
+    struct Copy
+    {
+        std::uint64_t version = 0;
+        std::map<StoreTable, std::pair<std::uint64_t, std::uint64_t>> tables; ///< content and version of its change
+    };
+
     bool chance(double perSecond)
     {
         return std::bernoulli_distribution(perSecond * static_cast<double>(step.count()) / 1000.0)(this->random);
@@ -96,9 +109,31 @@
         for (auto &[table, reader] : this->readers) {
             if (this->chance(this->options.changesPerSecond)) {
                 reader.changedVersion = ++this->version;
-                reader.unknownSince = reader.unknownSince.value_or(this->now);
+                reader.content = ++this->lastContent;
+                reader.unknown.emplace_back(reader.content, this->now);
             }
         }
+        this->copyAtRandom();
+    }
+
+    void copyAtRandom()
+    {
+        if (this->chance(1)) {
+            this->copy.version = this->version;
+            for (const auto &[table, reader] : this->readers) {
+                this->copy.tables[table] = {reader.content, reader.changedVersion};
+            }
+        }
+        if (!this->options.hasTrouble || this->copy.tables.empty() || !this->chance(0.05)) {
+            return;
+        }
+        ++this->era;
+        this->version = this->copy.version;
+        for (auto &[table, reader] : this->readers) {
+            std::tie(reader.content, reader.changedVersion) = this->copy.tables.at(table);
+            reader.unknown = {{reader.content, this->now}};
+            reader.lastFault = this->now;
+        }
     }
 
     void troubleAtRandom()
@@ -149,16 +184,16 @@
             }
             return;
         }
+        const bool isGone = reader.read.after && *reader.read.after > this->version;
         const bool hasChanges = !reader.read.after || reader.changedVersion > *reader.read.after;
-        if (!reader.answerAt && (hasChanges || pending >= reader.read.wait)) {
+        if (!reader.answerAt && (isGone || hasChanges || pending >= reader.read.wait)) {
             reader.answerAt = this->now + latency;
             reader.answerVersion = this->version;
+            reader.answerEra = this->era;
+            reader.answerContent = hasChanges ? reader.content : reader.knownContent;
+            reader.isHistoryLost = isGone;
         }
         if (reader.answerAt && this->now >= *reader.answerAt) {
-            reader.knownVersion = reader.answerVersion;
-            if (reader.knownVersion >= reader.changedVersion) {
-                reader.unknownSince.reset();
-            }
             this->end(table, reader, true);
         }
     }
@@ -167,17 +202,38 @@
     {
         reader.isPending = false;
         const double jitter = std::uniform_real_distribution<double>(0.5, 1.0)(this->random);
-        const Milliseconds pause = isAnswered ? this->watch.onAnswer(table, reader.answerVersion, this->now)
-                                              : this->watch.onFailure(table, jitter);
-        reader.nextReadAt = this->now + pause;
+        reader.nextReadAt
+            = this->now + (isAnswered ? this->apply(table, reader) : this->watch.onFailure(table, jitter));
+    }
+
+    Milliseconds apply(StoreTable table, Reader &reader)
+    {
+        this->watch.onEra(reader.answerEra);
+        if (reader.isHistoryLost) {
+            return this->watch.onHistoryLost(table, this->now);
+        }
+        if (!this->watch.isCurrent(table, reader.answerEra)) {
+            return this->watch.onOutdatedAnswer(table);
+        }
+        reader.knownContent = reader.answerContent;
+        const auto known = std::find_if(reader.unknown.begin(), reader.unknown.end(),
+                                        [&](const auto &change) { return change.first == reader.knownContent; });
+        if (known != reader.unknown.end()) {
+            reader.unknown.erase(reader.unknown.begin(), known + 1);
+        }
+        return this->watch.onAnswer(table, reader.answerVersion, this->now);
     }
 
     void check()
     {
+        // The operator's table tells the others of newer versions and eras.
+        const TimePoint ordersFault = this->readers.at(StoreTable::Orders).lastFault;
         for (const auto &[table, reader] : this->readers) {
-            if (reader.unknownSince) {
+            if (!reader.unknown.empty()) {
                 Milliseconds &longest = this->blindFor[table];
-                longest = std::max(longest, Milliseconds(this->now - std::max(*reader.unknownSince, reader.lastFault)));
+                longest = std::max(
+                    longest,
+                    Milliseconds(this->now - std::max({reader.unknown.front().second, reader.lastFault, ordersFault})));
             }
         }
     }
@@ -188,6 +244,9 @@
     TimePoint now = start;
     std::map<StoreTable, Reader> readers;
     std::uint64_t version = 0;
+    std::uint64_t lastContent = 0;
+    std::uint64_t era = 1;
+    Copy copy;
 };
 
 } // namespace
@@ -201,6 +260,8 @@
     CPPUNIT_TEST(aLongReadIsRepeatedOnceAnotherTableShowsANewerVersion);
     CPPUNIT_TEST(aQuietStoreIsReadLittleMoreThanTheOperatorsTableAlone);
     CPPUNIT_TEST(anInterruptedReadIsNotAnOutage);
+    CPPUNIT_TEST(whileTheOperatorsTableIsLostNoReadIsIdle);
+    CPPUNIT_TEST(aNewEraHasAllTablesReadInFull);
     CPPUNIT_TEST(waitsFollowTheBounds);
     CPPUNIT_TEST_SUITE_END();
 
@@ -287,6 +348,35 @@
         CPPUNIT_ASSERT(!watch.isReachable(StoreTable::Upstreams));
     }
 
+    void whileTheOperatorsTableIsLostNoReadIsIdle()
+    {
+        StoreWatch watch = watchAfterFullReads();
+        const Milliseconds idleWait = watch.beginRead(StoreTable::Upstreams, start).wait;
+        watch.onAnswer(StoreTable::Upstreams, 7, start);
+        watch.beginRead(StoreTable::Orders, start);
+        watch.onFailure(StoreTable::Orders, 1);
+        watch.beginRead(StoreTable::Upstreams, start);
+        watch.onAnswer(StoreTable::Upstreams, 7, start);
+        CPPUNIT_ASSERT(watch.beginRead(StoreTable::Upstreams, start).wait < idleWait);
+    }
+
+    void aNewEraHasAllTablesReadInFull()
+    {
+        StoreWatch watch = watchAfterFullReads();
+        CPPUNIT_ASSERT(!watch.onEra(1));
+        for (const StoreTable table : tables) {
+            watch.beginRead(table, start);
+        }
+        CPPUNIT_ASSERT(watch.isCurrent(StoreTable::Orders, 1));
+        CPPUNIT_ASSERT(watch.onEra(2));
+        CPPUNIT_ASSERT(!watch.isCurrent(StoreTable::Orders, 2));
+        CPPUNIT_ASSERT_EQUAL(tables.size(), watch.takeInterrupts(start).size());
+        watch.onOutdatedAnswer(StoreTable::Orders);
+        CPPUNIT_ASSERT((watch.beginRead(StoreTable::Orders, start) == TableRead()));
+        CPPUNIT_ASSERT(!watch.isCurrent(StoreTable::Orders, 1));
+        CPPUNIT_ASSERT(watch.isCurrent(StoreTable::Orders, 2));
+    }
+
     void waitsFollowTheBounds()
     {
         const WatchLimits limits = withBounds(WatchLimits(),
