--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -50,6 +50,8 @@
     CPPUNIT_TEST(readsARollOutOrder);
     CPPUNIT_TEST(readsAnUpstream);
     CPPUNIT_TEST(refusesMalformedUpstreamRows);
+    CPPUNIT_TEST(refusesAnUpstreamRowThatNamesNoUsableServer);
+    CPPUNIT_TEST(deeplyNestedRowsAreRead);
     CPPUNIT_TEST(aWrittenStatusReadsBackEqual);
     CPPUNIT_TEST(arbitraryBytesDoNotCrashTheReaders);
     CPPUNIT_TEST_SUITE_END();
@@ -221,6 +223,44 @@
         }
     }
 
+    void refusesAnUpstreamRowThatNamesNoUsableServer()
+    {
+        const auto upstream = [](const std::string &address, const std::string &slots, const std::string &born) {
+            return R"({"service":"s","address":")" + address + R"(","zone":"z","version":"v","slots":)" + slots
+                + R"(,"state":"ready","born":)" + born + "}";
+        };
+        LastReason reason;
+        CPPUNIT_ASSERT(platform::readUpstream(row("servers/i-1", upstream("10.0.0.1:80", "6", "17")), reason));
+        for (const std::string &text : {
+                 upstream("10.0.0.1:65536", "6", "17"),
+                 upstream("10.0.0.1:99999999999999999999", "6", "17"),
+                 upstream("10.0.0.1:0", "6", "17"),
+                 upstream("10.0.0.1:-1", "6", "17"),
+                 upstream("10.0.0.1", "6", "17"),
+                 upstream("10.0.0.1:80", "4294967296", "17"),
+                 upstream("10.0.0.1:80", "18446744073709551615", "17"),
+                 upstream("10.0.0.1:80", "18446744073709551616", "17"),
+                 upstream("10.0.0.1:80", "1e400", "17"),
+                 upstream("10.0.0.1:80", "0", "17"),
+                 upstream("10.0.0.1:80", "6", "18446744073709551615"),
+                 upstream("10.0.0.1:80", "6", "1e300"),
+             }) {
+            CPPUNIT_ASSERT_MESSAGE(text, !platform::readUpstream(row("servers/i-1", text), reason));
+            CPPUNIT_ASSERT(reason.failure().id == ErrorId::BadPeerData);
+        }
+    }
+
+    void deeplyNestedRowsAreRead()
+    {
+        constexpr std::size_t depth = 2000000;
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        LastReason reason;
+        CPPUNIT_ASSERT(!platform::readUpstream(row("servers/i-1", nested), reason));
+        CPPUNIT_ASSERT(!platform::readUpstream(row("servers/i-1", std::string(depth, '[')), reason));
+        const std::string text = validUpstream.substr(0, validUpstream.size() - 1) + R"(,"more":)" + nested + "}";
+        CPPUNIT_ASSERT(platform::readUpstream(row("servers/i-1", text), reason));
+    }
+
     void aWrittenStatusReadsBackEqual()
     {
         for (const RolloutState state : {RolloutState::Running, RolloutState::Completed, RolloutState::RolledBack}) {
