Keep an error's answer out of a stream that has begun

Here: an upstream that was to resume the stream and answered with a signed 4xx had its whole answer, head included, written into the client's stream. A 5xx was not relayed, as it is tried again elsewhere.

anErrorAfterAStreamHasBegunDoesNotReachTheClient (unit-net-forward) failed before with 400 and passes with 400, 404, 500 and 503: the stream is resumed elsewhere or visibly broken off. Ruled out by the same test: an end as if it were complete.

--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -280,6 +280,10 @@
         co_return AttemptResult::BadData;
     }
     this->upstreamFailed = answer.status >= statusServerError;
+    if (this->exchange.answered()) {
+        // The client is in the middle of a stream that this upstream was to resume.
+        co_return AttemptResult::Failed;
+    }
     if (this->upstreamFailed && this->isRepeatable()) {
         this->failedAnswer = std::move(answer);
         co_return AttemptResult::Failed;
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(aConnectionWithUnreadBytesIsNotReused);
     CPPUNIT_TEST(aRunOnceRequestUsesANewConnection);
     CPPUNIT_TEST(aStreamResumesAfterItsLastCompleteEvent);
+    CPPUNIT_TEST(anErrorAfterAStreamHasBegunDoesNotReachTheClient);
     CPPUNIT_TEST(aStartedStreamResumesWithoutRetryBudget);
     CPPUNIT_TEST(aLateFirstEventIsNotCountedAsAnAnswer);
     CPPUNIT_TEST(aLateFirstEventIsEvidenceOfASlowVersion);
@@ -270,6 +271,26 @@
         CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
     }
 
+    void anErrorAfterAStreamHasBegunDoesNotReachTheClient()
+    {
+        for (const int status : {400, 404, 500, 503}) {
+            ForwardRig rig;
+            rig.route("stream", Repeatability::Resumable, true);
+            const std::string truncated = streamHead() + chunkedEvent(1);
+            const std::string failed = upstreamAnswer(status, "no such model");
+            rig.upstream("u1", {{truncated}, {failed}});
+            rig.upstream("u2", {{failed}});
+            rig.upstreams.front()->scriptedResponses = {{truncated}, {failed}};
+            rig.upstreams.back()->scriptedResponses = {{truncated}, {failed}};
+            const std::string answer = rig.exchange(clientRequest("/stream/a"));
+            const std::string message = std::to_string(status) + ": " + answer;
+            CPPUNIT_ASSERT_MESSAGE(message, answer.find("HTTP/1.1 200") == 0);
+            CPPUNIT_ASSERT_MESSAGE(message, answer.find("HTTP/1.1", 1) == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(message, answer.find("no such model") == std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(message, answer.find("\r\n0\r\n\r\n") == std::string::npos);
+        }
+    }
+
     void aStartedStreamResumesWithoutRetryBudget()
     {
         ForwardRig rig;
