--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -230,6 +230,11 @@
             }
             continue;
         }
+        if (answer.requestId.empty() && connection.isReused()) {
+            // It may be the repeated answer to an earlier request on this connection.
+            this->attemptLog.append(" answer_without_id");
+            co_return AttemptResult::BadData;
+        }
         this->recordRequestRate(target, answer.requestRate);
         if (answer.notRun && !isSuccess(*status)) {
             if (*status == statusMisdirected) {
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(aRunOnceRequestUsesANewConnection);
     CPPUNIT_TEST(aStreamResumesAfterItsLastCompleteEvent);
     CPPUNIT_TEST(anErrorAfterAStreamHasBegunDoesNotReachTheClient);
+    CPPUNIT_TEST(aRefusalWithoutIdOnAKeptConnectionIsNotBelieved);
     CPPUNIT_TEST(aStartedStreamResumesWithoutRetryBudget);
     CPPUNIT_TEST(aLateFirstEventIsNotCountedAsAnAnswer);
     CPPUNIT_TEST(aLateFirstEventIsEvidenceOfASlowVersion);
@@ -291,6 +292,17 @@
         }
     }
 
+    void aRefusalWithoutIdOnAKeptConnectionIsNotBelieved()
+    {
+        ForwardRig rig;
+        rig.route("kept", Repeatability::Always);
+        const test::ScriptedResponse first{upstreamAnswer(200, "first", "r-1"), false};
+        rig.upstream("u1", {first, {notExecutedAnswer, false}});
+        rig.exchange(clientRequest("/kept/a", "r-1"));
+        const std::string answer = rig.exchange(clientRequest("/kept/a", "r-2"));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("HTTP/1.1 503") == std::string::npos);
+    }
+
     void aStartedStreamResumesWithoutRetryBudget()
     {
         ForwardRig rig;
