--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace parsleyvane {
@@ -30,6 +31,9 @@
 /// @brief Agreed state of a roll-out.
 enum class RolloutState { Running, Completed, RolledBack };
 
+/// @brief The state's name in logs.
+std::string_view rolloutStateName(RolloutState state);
+
 /// @brief State of a roll-out that all instances agree on, stored in one row.
 struct RolloutStatus
 {
--- a/include/parsleyvane/store/transaction.h
+++ b/include/parsleyvane/store/transaction.h
@@ -21,6 +21,12 @@
     std::string value;
 };
 
+/// @brief The name of a row within its table.
+inline std::string rowName(const std::string &key)
+{
+    return key.substr(key.find('/') + 1);
+}
+
 /// @brief Writes all rows of `puts` atomically if each key of `checks` still has its version.
 struct Transaction
 {
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -88,6 +88,19 @@
 
 } // namespace
 
+std::string_view rolloutStateName(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Running:
+        return "running";
+    case RolloutState::Completed:
+        return "completed";
+    case RolloutState::RolledBack:
+        break;
+    }
+    return "rolled_back";
+}
+
 VersionShift::VersionShift(ShiftLimits limits)
     : limits(limits)
     , overallJudge(judgeLimits(limits.falseRollbackProbability))
