--- a/include/parsleyvane/config/settings.h
+++ b/include/parsleyvane/config/settings.h
@@ -94,6 +94,12 @@
     LimitSettings limits;
     FrontKind front = FrontKind::Chat;
     BoundSettings bounds;
+    /// @brief This instance's share of a processor core. Those with the largest read the store for the others.
+    double processorShare = 0;
+    /// @brief Whether the whole fleet starts for the first time, so that the others start at the same moment.
+    bool isFirstStart = false;
+    /// @brief The availability zones of the deployment; empty when they are not given.
+    std::vector<ZoneId> zones;
 
     friend bool operator==(const InstanceSettings &, const InstanceSettings &) = default;
 };
--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -5,9 +5,11 @@
 #pragma once
 
 #include "parsleyvane/forward/forwardcontext.h"
+#include "parsleyvane/forward/storerelay.h"
 #include "parsleyvane/ingress/fleetreport.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <string>
 
@@ -18,16 +20,30 @@
 {
     WatchLimits watch;
     Milliseconds publishDelay{250}; ///< evidence gathered within this delay goes into one write
+    Milliseconds gatherDelay{500}; ///< the same for evidence that is gathered from other instances
     Milliseconds tickInterval{200}; ///< between checks of roll-outs and expiries
+    Milliseconds membersDelay{
+        500}; ///< at the fleet's first start, from an instance's own row until it reads the others'
+    Milliseconds membersInterval{20000}; ///< between reads of the members by those that read for themselves
+};
+
+/// @brief How an instance meets the others of its zone.
+struct RelaySettings
+{
+    std::string address; ///< IP:PORT for other instances
+    double processorShare = 0;
+    std::size_t zones = 1; ///< of the deployment
+    bool isFirstStart = false; ///< of the whole fleet
 };
 
 /**
  * @brief Follows the store's tables for as long as the process runs.
  *
  * Each table is read in full once and then by its changes; after a gap in the history it is read in full again. While
- * the store is unreachable, the last known view is used.
+ * the store is unreachable, the last known view is used. In a large zone a few instances read for the others, which
+ * read for themselves only when what they were told is too old.
  */
-class FleetSync
+class FleetSync : private RelayKnowledge
 {
 public:
     // constructors
@@ -36,6 +52,9 @@
     // modifiers
     /// @brief Starts the reads. @param configured called when a configuration was read
     void start(std::function<void()> configured);
+    /// @brief Exchanges what is read with the other instances of the zone. @param reason InvalidSetting
+    /// @pre start() was not called
+    bool startRelay(const RelaySettings &settings, LastReason &reason);
     /// @brief Tells the others that this instance takes no more requests.
     void leave();
     void setShiftLimits(const ShiftLimits &newLimits);
@@ -54,7 +73,29 @@
         void (FleetSync::*applyChanges)(const TableSnapshot &);
     };
 
+    RelayPoll makePoll() override;
+    bool applyOffer(const InstanceId &from, const RelayPoll &asked, const RelayOffer &offer) override;
+    void onAsked() override;
+    bool hasNews(const RelayPoll &poll) const override;
+    RelayOffer makeOffer(const RelayPoll &poll) const override;
+    void onReport(const InstanceId &from, const std::string &text) override;
+
     boost::asio::awaitable<void> readLoop(Reader reader);
+    /// Waits as long as another instance's answer spares an own read.
+    boost::asio::awaitable<void> waitForOwnRead(StoreTable table);
+    /// Applies rows that were read, and keeps them for the other instances.
+    void applyRead(const Reader &reader, const TableSnapshot &snapshot, bool isFull);
+    /// Applies a table of a reader's answer, if it continues what is known.
+    void applyRelayed(const Reader &reader, const RelayedTable &relayed, const RelayOffer &offer);
+    /// Whether the instances that ask are told about the table.
+    bool isOffered(StoreTable table) const;
+    void endRelay();
+    boost::asio::awaitable<void> join();
+    boost::asio::awaitable<void> removeMember();
+    boost::asio::awaitable<bool> readMembers();
+    void updateInstanceShare(std::size_t zoneMembers);
+    /// Whether the evidence of others reaches this instance, so that it may decide on a roll-out.
+    bool mayDecide() const;
     /// Reads once and applies the answer. Returns the pause until the next read.
     boost::asio::awaitable<Milliseconds> readOnce(const Reader &reader, LastReason &reason);
     Milliseconds onReadFailed(StoreTable table);
@@ -90,8 +131,13 @@
     Milliseconds storeTimeNow() const;
     void mergeLimits(const std::map<InstanceId, LimitReport> &reports);
     void logBlocks();
-    void logEvidence(const InstanceId &from, const VersionReport &version);
+    void mergeGathered(const TableRow &row);
+    void mergeVersions(const InstanceId &from, const std::vector<VersionReport> &versions);
+    void logEvidence();
     FleetReport report() const;
+    /// What this instance writes into its row: what reaches the others by a reader is left out.
+    FleetReport rowReport() const;
+    boost::asio::awaitable<void> publishGathered();
 
     ForwardContext &context;
     InstanceId self;
@@ -107,6 +153,17 @@
     Milliseconds storeClockOffset{0}; ///< the store's steady clock minus this machine's
     bool isClockOffsetKnown = false;
     Milliseconds latestStoreTime{0}; ///< of the store's latest answer
+    std::map<StoreTable, boost::asio::steady_timer> waits; ///< of the reads that another instance's answer spares
+    RelaySettings relaySettings;
+    std::unique_ptr<StoreRelay> relay; ///< null when this instance reads for itself only
+    std::map<StoreTable, RowMirror> mirrors;
+    Milliseconds confirmed{0}; ///< when the store confirmed the operator's table, on its clock
+    std::string deliveredReport; ///< the evidence that the reader has
+    InstanceId deliveredTo;
+    GatheredReports gathered; ///< evidence of the instances that ask this one
+    std::map<ServiceName, std::size_t> mergedReports; ///< since the latest log line
+    bool isGathering = false; ///< publishGathered() runs
+    bool isGatheredChanged = false;
     FleetReport published;
     bool isOwnReportKnown = false; ///< what this instance published before a restart was read, or it has published
     bool publishing = false;
--- a/include/parsleyvane/forward/platformport.h
+++ b/include/parsleyvane/forward/platformport.h
@@ -95,6 +95,10 @@
     // the store
     /// @brief Reads a table in full. @param reason StoreUnavailable
     virtual boost::asio::awaitable<std::optional<TableSnapshot>> readTable(StoreTable table, LastReason &reason) = 0;
+    /// @brief Reads the rows of one part of a table. @param reason StoreUnavailable
+    virtual boost::asio::awaitable<std::optional<TableSnapshot>> readPart(StoreTable table, std::string part,
+                                                                          LastReason &reason)
+        = 0;
     /// @brief Long-polls for changes after a version; an empty list when the wait ends without any.
     virtual boost::asio::awaitable<ChangesOutcome> readChanges(StoreTable table, std::uint64_t after, Milliseconds wait)
         = 0;
--- a/include/parsleyvane/ingress/repeatbudget.h
+++ b/include/parsleyvane/ingress/repeatbudget.h
@@ -22,8 +22,8 @@
 /**
  * @brief One instance's share of the retry budget, from its own requests in a sliding window. Complexity: constant.
  *
- * Each instance keeps its own retries within the ratio, so their sum is within it too, without communication. Each gets
- * a fixed fraction of the slack, since the number of instances is not known.
+ * Each instance keeps its own retries within the ratio, so their sum is within it too, without communication. The slack
+ * is divided by the number of instances; an instance that does not know the number gets none of it.
  */
 class RepeatBudget
 {
@@ -33,6 +33,8 @@
 
     // modifiers
     void setBounds(const RepeatBounds &bounds);
+    /// @brief Sets the number of instances that share the slack; 0 when it is not known.
+    void setInstances(std::size_t number);
     /// @brief Counts a client's request for the service.
     void onRequest(const ServiceName &service, TimePoint now);
     /// @brief Takes one retry from the budget. @return whether there was one left
@@ -59,6 +61,7 @@
     Slice &currentSlice(const ServiceName &service, TimePoint now);
 
     RepeatBounds bounds;
+    double slackFraction = 0; ///< this instance's part of the slack
     std::map<ServiceName, Slices> services;
 };
 
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -145,8 +145,14 @@
     /// @brief Adds a sample of the time to the first event, which includes queueing at the upstream; otherwise as
     /// onLatency().
     void onTimeToFirstEvent(bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
-    /// @brief Replaces the report of another instance; one about another version or order is ignored.
+    /// @brief Replaces the report of another instance; one about another version or order is ignored, and so is one
+    /// with fewer answers than are known: reports may arrive by several ways.
     void merge(const InstanceId &from, const VersionReport &report);
+    /// @brief Whether others have evidence against the version, so that evidence for it counts too.
+    void setEvidenceWanted(bool isWanted) noexcept
+    {
+        this->isEvidenceWanted = isWanted;
+    }
     /// @brief Evaluates the merged evidence; a version that is found bad stays so. Each route is also tested
     /// separately: a version may fail on one route only, while another route fails with either version. Complexity:
     /// instances times routes.
@@ -188,6 +194,8 @@
     /// @brief Whether this instance's evidence is strong enough to be sent to the other instances.
     bool hasEvidence() const noexcept;
     VersionReport report() const;
+    /// @brief The sum of report() and the reports of other instances. Complexity: instances times routes.
+    VersionReport totals() const;
     const ShiftLimits &shiftLimits() const noexcept
     {
         return this->limits;
@@ -201,7 +209,6 @@
     };
 
     double candidateShare(TimePoint now) const;
-    VersionReport totals() const;
     std::optional<std::string> evaluateAnswers(const std::map<RouteName, RouteAnswers> &routes);
     bool hasLatencyEvidence() const noexcept;
     void addSample(PaceTest &test, bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
@@ -222,6 +229,7 @@
     VersionJudge overallJudge;
     std::map<RouteName, VersionJudge> routeJudges;
     bool bad = false;
+    bool isEvidenceWanted = false;
 };
 
 } // namespace parsleyvane
--- a/include/parsleyvane/net/httpstatus.h
+++ b/include/parsleyvane/net/httpstatus.h
@@ -8,6 +8,7 @@
 
 inline constexpr int statusOk = 200;
 inline constexpr int statusMultiple = 300; ///< first code above the successful (2xx) class
+inline constexpr int statusBadRequest = 400;
 inline constexpr int statusNotFound = 404;
 inline constexpr int statusConflict = 409;
 inline constexpr int statusMisdirected = 421;
--- a/include/parsleyvane/store/storewatch.h
+++ b/include/parsleyvane/store/storewatch.h
@@ -19,6 +19,7 @@
     Upstreams, ///< the registered upstreams
     Status, ///< roll-out states for the operator
     Fleet, ///< reports that the instances exchange
+    Members, ///< the instances, by zone; not followed
 };
 
 /// @brief Deployment bounds from which WatchLimits are derived.
@@ -41,6 +42,9 @@
     /// together.
     Milliseconds upstreamsInterval{500};
     Milliseconds fleetInterval{400}; ///< the same for the reports of other instances
+    /// How long another instance's confirmation of the operator's table spares an own read; twice that for the others.
+    Milliseconds relayAge{600};
+    Milliseconds relayStart{1000}; ///< at the start, how long the first reads wait for another instance's answer
     Milliseconds initialBackoff{100}; ///< after a failed read; doubles with each further one
     Milliseconds maxBackoff{1000};
 };
@@ -68,6 +72,9 @@
  * changes; and the first failure at one table interrupts the waiting reads of the others, which may have lost their
  * answers too. That a table answers again is no sign that the others do.
  *
+ * Another instance's answer spares own reads as long as the store's confirmation in it is young enough, whatever the
+ * connection to that instance looks like. It is one more source of versions, not a second belief.
+ *
  * A store that was restored from a copy gives versions out again, so a reader that continued at its version would miss
  * what lies before. It names a newer era, from which on no version of the era before is used.
  */
@@ -96,6 +103,17 @@
     /// the same moment
     /// @return the pause until the next read; 0 when the read was interrupted
     Milliseconds onFailure(StoreTable table, double jitter);
+    /// @brief Applies that another instance has read the table up to the version. @param confirmedAt when the store
+    /// confirmed that to it, by this instance's clock
+    void onRelayed(StoreTable table, std::uint64_t version, TimePoint confirmedAt, TimePoint now);
+    /// @brief Postpones the first reads, or the second of the operator's table, until another instance may have
+    /// answered.
+    void expectRelay(TimePoint now);
+    /// @brief Ends what onRelayed() and expectRelay() spare: the next reads are due.
+    void endRelay();
+    void endRelay(StoreTable table);
+    /// @brief Whether other instances rely on this one's reads; the operator's table is then read more often.
+    void setRelaying(bool isRelaying);
     /// @brief Returns once each pending read that must be ended now.
     std::vector<StoreTable> takeInterrupts(TimePoint now);
 
@@ -103,6 +121,17 @@
     /// @brief Whether the answer to the table's pending read may be applied: it is of the newest era, and so is the
     /// version after which the read asked for changes.
     bool isCurrent(StoreTable table, std::uint64_t answerEra) const;
+    /// @brief Whether a later version than that of the answer to the pending read was relayed meanwhile.
+    bool isOvertaken(StoreTable table, std::uint64_t answerVersion) const;
+    /// @brief The version up to which the table is known; empty until it was read in full.
+    std::optional<std::uint64_t> versionOf(StoreTable table) const;
+    /// @brief The oldest confirmation by another instance that spares a read of the operator's table.
+    Milliseconds relayAge() const noexcept
+    {
+        return this->limits.relayAge;
+    }
+    /// @brief How long another instance's answer still spares an own read of the table; 0 when a read is due.
+    Milliseconds untilOwnRead(StoreTable table, TimePoint now) const;
     /// @brief Whether the table's latest read was answered; interrupted ones don't count.
     bool isReachable(StoreTable table) const;
     /// @brief When the table's latest answer arrived.
@@ -127,6 +156,8 @@
         Milliseconds wait{0}; ///< of the latest read
         NextWait nextWait = NextWait::Idle;
         Milliseconds backoff{0}; ///< before the latest retry; 0 after an answer
+        TimePoint coveredUntil{}; ///< until then, another instance's answer spares an own read
+        bool isRelayed = false; ///< what is known was told by another instance
         bool isPending = false;
         bool isFullRead = false; ///< the latest read
         bool isReachable = true;
@@ -138,11 +169,15 @@
     Milliseconds boundedWait(StoreTable table) const;
     Milliseconds waitOf(StoreTable table, const State &state) const;
     Milliseconds intervalOf(StoreTable table) const;
+    Milliseconds relayAgeOf(StoreTable table) const;
     bool isOverdue(StoreTable table, const State &state, TimePoint now) const;
 
     WatchLimits limits;
     std::map<StoreTable, State> states;
     std::uint64_t newestVersion = 0; ///< of all answers of the era
+    std::optional<TimePoint> relayedAt; ///< when another instance's latest answer arrived
+    TimePoint relayExpectedUntil{}; ///< at the start: another instance may answer until then
+    bool isRelaying = false;
     std::optional<std::uint64_t> era; ///< empty until the store has answered
 };
 
--- a/include/parsleyvane/store/transaction.h
+++ b/include/parsleyvane/store/transaction.h
@@ -19,6 +19,8 @@
     std::string key;
     std::uint64_t version = 0;
     std::string value;
+
+    friend bool operator==(const TableRow &, const TableRow &) = default;
 };
 
 /// @brief The name of a row within its table.
@@ -42,6 +44,8 @@
     };
     std::vector<Check> checks;
     std::vector<Put> puts;
+    std::vector<std::string> removals; ///< keys
+    std::string part; ///< of all rows
 };
 
 /// @brief The transaction took effect.
--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -1,5 +1,7 @@
 #include "parsleyvane/ingress/fleetreport.h"
 
+#include "parsleyvane/store/transaction.h"
+
 #include <nlohmann/json.hpp>
 
 namespace parsleyvane {
@@ -8,6 +10,8 @@
 
 namespace {
 
+const std::string gatheredPrefix = "gathered/";
+
 Json countJson(const AnswerCounts &counts)
 {
     return Json::array({counts.served, counts.bad});
@@ -120,6 +124,15 @@
     return limits;
 }
 
+std::vector<VersionReport> readVersions(const Json &json)
+{
+    std::vector<VersionReport> versions;
+    for (const Json &version : json) {
+        versions.push_back(readVersion(version));
+    }
+    return versions;
+}
+
 FleetReport readReport(const Json &json)
 {
     FleetReport report;
@@ -129,9 +142,7 @@
     for (const Json &cleared : json.at("cleared")) {
         report.crashes.cleared.push_back({Fingerprint(cleared.at(0).get<std::string>()), readTime(cleared.at(1))});
     }
-    for (const Json &version : json.at("versions")) {
-        report.versions.push_back(readVersion(version));
-    }
+    report.versions = readVersions(json.at("versions"));
     // Reports of earlier versions have no limits.
     if (json.contains("limits")) {
         report.limits = readLimits(json.at("limits"));
@@ -168,4 +179,42 @@
     }
 }
 
+std::string gatheredRowName(const InstanceId &reader)
+{
+    return gatheredPrefix + reader.str();
+}
+
+bool isGatheredRow(const std::string &key)
+{
+    return rowName(key).starts_with(gatheredPrefix);
+}
+
+std::string serialise(const GatheredReports &reports)
+{
+    Json json = Json::object();
+    for (const auto &[from, versions] : reports) {
+        if (versions.empty()) {
+            continue;
+        }
+        Json &list = json[from.str()] = Json::array();
+        for (const VersionReport &version : versions) {
+            list.push_back(versionJson(version));
+        }
+    }
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<GatheredReports> parseGathered(const std::string &text, LastReason &reason)
+{
+    try {
+        GatheredReports reports;
+        for (const auto &[from, versions] : Json::parse(text).get_ref<const Json::object_t &>()) {
+            reports[InstanceId(from)] = readVersions(versions);
+        }
+        return reports;
+    } catch (const Json::exception &error) {
+        return reason.fail({.id = ErrorId::BadPeerData, .step = Step::Exchange, .detail = error.what()});
+    }
+}
+
 } // namespace parsleyvane
--- a/src/core/ingress/repeatbudget.cpp
+++ b/src/core/ingress/repeatbudget.cpp
@@ -8,8 +8,10 @@
 
 /// Fraction of the allowed ratio that is used; the margin covers windows that overlap this one only in part.
 constexpr double usedRatioFraction = 0.8;
-/// Fraction of the fleet's slack for each instance: the sum stays within the slack for up to 50 instances.
-constexpr double instanceSlackFraction = 0.02;
+/// The largest fraction of the slack for one instance.
+constexpr double maxSlackFraction = 0.02;
+/// Fraction of the slack that all instances use together; the margin covers instances that are not known yet.
+constexpr double usedSlackFraction = 0.5;
 
 } // namespace
 
@@ -23,6 +25,11 @@
     this->bounds = newBounds;
 }
 
+void RepeatBudget::setInstances(std::size_t number)
+{
+    this->slackFraction = number == 0 ? 0 : std::min(maxSlackFraction, usedSlackFraction / static_cast<double>(number));
+}
+
 void RepeatBudget::onRequest(const ServiceName &service, TimePoint now)
 {
     ++this->currentSlice(service, now).requests;
@@ -44,7 +51,7 @@
 
 double RepeatBudget::remaining(const ServiceName &service, TimePoint now) const
 {
-    double allowed = this->bounds.slack * instanceSlackFraction;
+    double allowed = this->bounds.slack * this->slackFraction;
     const auto found = this->services.find(service);
     if (found == this->services.end()) {
         return allowed;
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -78,6 +78,14 @@
     return sum;
 }
 
+/// Number of answers that the report counts; it never decreases while the instance runs.
+std::uint64_t answersOf(const VersionReport &report)
+{
+    const RouteAnswers sum = sumOf(report.routes);
+    return sum.candidate.served + sum.predecessor.served + report.firstEventEvidence.answers
+        + report.latencyEvidence.answers;
+}
+
 /// Why the answers show that the new version is bad; empty while they do not.
 std::string rollBackReason(VersionJudge &judge, const RouteAnswers &answers)
 {
@@ -285,8 +293,12 @@
 void VersionShift::merge(const InstanceId &from, const VersionReport &report)
 {
     const bool isCurrentOrder = this->current && report.order.value_or(this->current->number) == this->current->number;
-    if (isCurrentOrder && report.version == this->current->to) {
-        this->otherReports[from] = report;
+    if (!isCurrentOrder || report.version != this->current->to) {
+        return;
+    }
+    const auto [known, isNew] = this->otherReports.try_emplace(from, report);
+    if (!isNew && answersOf(report) >= answersOf(known->second)) {
+        known->second = report;
     }
 }
 
@@ -396,9 +408,10 @@
     const std::uint64_t answers = this->firstEventTest.evidence().answers + this->latencyTest.evidence().answers;
     // Once another instance has reported evidence against the version, evidence for it is reported too.
     const bool anyEvidenceAgainst
-        = std::any_of(this->otherReports.begin(), this->otherReports.end(), [](const auto &entry) {
-              return std::max(entry.second.firstEventEvidence.logOdds(), entry.second.latencyEvidence.logOdds()) > 0;
-          });
+        = this->isEvidenceWanted
+        || std::any_of(this->otherReports.begin(), this->otherReports.end(), [](const auto &entry) {
+               return std::max(entry.second.firstEventEvidence.logOdds(), entry.second.latencyEvidence.logOdds()) > 0;
+           });
     return ownLogOdds >= minReportedLogOdds || (anyEvidenceAgainst && answers > 0);
 }
 
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -80,12 +80,14 @@
 
 constexpr double maxConfidence = 100;
 constexpr double maxShare = 1;
+constexpr double maxProcessorShare = 1024;
 constexpr double maxRatio = 10;
 constexpr double maxSlack = 1000000;
 constexpr std::string_view secondsRule = "seconds from 0 to 600";
 constexpr std::string_view identifierRule = "1 to 48 letters, digits, '.', '-' or '_'";
 constexpr std::string_view addressRule = "IP:PORT with a port from 1 to 65535";
 constexpr std::string_view durationRule = "whole milliseconds from 1 to 600000";
+constexpr std::string_view zonesSection = "zones";
 constexpr Milliseconds zeroDuration{0};
 constexpr Milliseconds minPositiveDuration{1};
 
@@ -102,6 +104,15 @@
          [](InstanceSettings &settings, const std::string &value) {
              return parseFront(settings.front, value);
          }},
+    Rule{"instance", "processor-share", false, "cores from 0 to 1024",
+         [](InstanceSettings &settings, const std::string &value) {
+             return parseNumber(settings.processorShare, value, 0.0, maxProcessorShare);
+         }},
+    Rule{"instance", "first-start", false, "yes or no",
+         [](InstanceSettings &settings, const std::string &value) {
+             settings.isFirstStart = value == "yes";
+             return value == "yes" || value == "no";
+         }},
     Rule{"listen", "callers", true, addressRule,
          [](InstanceSettings &settings, const std::string &value) {
              return parseAddress(settings.listen.callers, value);
@@ -211,7 +222,7 @@
             keys += (keys.empty() ? "" : ", ") + std::string(rule.key);
         }
     }
-    return keys.empty() ? "the sections instance, listen, platform, peers, limits, bounds" : "the keys " + keys;
+    return keys.empty() ? "the sections instance, listen, platform, peers, limits, bounds, zones" : "the keys " + keys;
 }
 
 bool sameSetting(const IniEntry &a, const IniEntry &b)
@@ -250,6 +261,11 @@
 void applyEntry(InstanceSettings &settings, const SourcedEntry &sourced, std::vector<SettingProblem> &problems)
 {
     const IniEntry &entry = sourced.entry;
+    if (entry.section == zonesSection && isIdentifier(entry.key)) {
+        // The keys are the names of the zones.
+        settings.zones.emplace_back(entry.key);
+        return;
+    }
     const Rule *rule = findRule(entry.section, entry.key);
     if (rule == nullptr) {
         problems.push_back(
--- a/src/core/storewatch.cpp
+++ b/src/core/storewatch.cpp
@@ -1,6 +1,7 @@
 #include "parsleyvane/store/storewatch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleyvane {
 
@@ -19,6 +20,7 @@
     limits.evidenceWait = waitWithin(bounds.evidence);
     limits.maxBackoff = std::min(limits.maxBackoff, bounds.stable / readsPerBound);
     limits.upstreamsInterval = bounds.leaving / readsPerBound;
+    limits.relayAge = std::min(bounds.change, bounds.leaving) / readsPerBound;
     return limits;
 }
 
@@ -38,6 +40,13 @@
 TableRead StoreWatch::beginRead(StoreTable table, TimePoint now)
 {
     State &state = this->states.at(table);
+    if (std::exchange(state.isRelayed, false)) {
+        state.nextWait = NextWait::None;
+        if (table == StoreTable::Fleet) {
+            // Another instance passes on only a part of the reports.
+            state.version.reset();
+        }
+    }
     state.wait = this->waitOf(table, state);
     state.nextWait = NextWait::Idle;
     state.isPending = true;
@@ -58,8 +67,10 @@
     this->newestVersion = 0;
     for (auto &[table, state] : this->states) {
         state.version.reset();
+        state.coveredUntil = TimePoint();
         interrupt(state);
     }
+    this->relayedAt.reset();
     return true;
 }
 
@@ -80,9 +91,62 @@
     state.isPending = false;
     state.isReachable = true;
     state.backoff = Milliseconds(0);
+    if (now < this->relayExpectedUntil || (this->relayedAt && now - *this->relayedAt <= 2 * this->limits.relayAge)) {
+        state.coveredUntil = std::max(state.coveredUntil, now + this->relayAgeOf(table));
+    }
     return this->intervalOf(table);
 }
 
+void StoreWatch::onRelayed(StoreTable table, std::uint64_t version, TimePoint confirmedAt, TimePoint now)
+{
+    State &state = this->states.at(table);
+    this->relayedAt = now;
+    state.isRelayed = state.isRelayed || version > state.version.value_or(0);
+    state.version = std::max(state.version.value_or(0), version);
+    this->newestVersion = std::max(this->newestVersion, version);
+    state.coveredUntil = std::max(state.coveredUntil, confirmedAt + this->relayAgeOf(table));
+    if (state.coveredUntil <= now) {
+        return;
+    }
+    state.answeredAt = std::max(state.answeredAt.value_or(confirmedAt), confirmedAt);
+    state.isReachable = true;
+    state.backoff = Milliseconds(0);
+}
+
+void StoreWatch::expectRelay(TimePoint now)
+{
+    this->relayExpectedUntil = now + this->limits.relayStart;
+    for (auto &[table, state] : this->states) {
+        if (table != StoreTable::Orders && !state.version) {
+            state.coveredUntil = now + this->limits.relayStart;
+        }
+    }
+}
+
+void StoreWatch::endRelay()
+{
+    this->relayedAt.reset();
+    this->relayExpectedUntil = TimePoint();
+    for (auto &[table, state] : this->states) {
+        state.coveredUntil = TimePoint();
+    }
+}
+
+void StoreWatch::endRelay(StoreTable table)
+{
+    this->states.at(table).coveredUntil = TimePoint();
+}
+
+void StoreWatch::setRelaying(bool relaying)
+{
+    this->isRelaying = relaying;
+    State &orders = this->states.at(StoreTable::Orders);
+    if (relaying && orders.isPending && orders.wait > this->boundedWait(StoreTable::Orders)) {
+        // Its answer would come too late for the others.
+        interrupt(orders);
+    }
+}
+
 Milliseconds StoreWatch::onHistoryLost(StoreTable table, TimePoint now)
 {
     State &state = this->states.at(table);
@@ -153,6 +217,28 @@
     return answerEra == this->era && (state.isFullRead || state.version);
 }
 
+bool StoreWatch::isOvertaken(StoreTable table, std::uint64_t answerVersion) const
+{
+    const State &state = this->states.at(table);
+    return state.isRelayed && answerVersion < state.version.value_or(0);
+}
+
+std::optional<std::uint64_t> StoreWatch::versionOf(StoreTable table) const
+{
+    return this->states.at(table).version;
+}
+
+Milliseconds StoreWatch::untilOwnRead(StoreTable table, TimePoint now) const
+{
+    return std::max(Milliseconds(0), this->states.at(table).coveredUntil - now);
+}
+
+Milliseconds StoreWatch::relayAgeOf(StoreTable table) const
+{
+    constexpr int othersFactor = 2;
+    return table == StoreTable::Orders ? this->limits.relayAge : this->limits.relayAge * othersFactor;
+}
+
 bool StoreWatch::isReachable(StoreTable table) const
 {
     return this->states.at(table).isReachable;
@@ -177,7 +263,9 @@
 {
     switch (table) {
     case StoreTable::Orders:
-        return this->limits.ordersWait;
+        // Three quarters leave time for the answer's way to the other instances.
+        return this->isRelaying ? std::min(this->limits.ordersWait, this->limits.relayAge * 3 / 4)
+                                : this->limits.ordersWait;
     case StoreTable::Upstreams:
         return this->limits.upstreamsWait;
     default:
--- a/src/net/forward/fleetreports.cpp
+++ b/src/net/forward/fleetreports.cpp
@@ -4,6 +4,8 @@
 #include "parsleyvane/net/sleep.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 namespace parsleyvane {
 
@@ -13,7 +15,13 @@
 {
     const TimePoint now = bootClockNow();
     std::map<InstanceId, LimitReport> limitReports;
+    // The ledger compares all crashes once for all reports together.
+    CrashEvidence crashes;
     for (const TableRow &row : snapshot.rows) {
+        if (isGatheredRow(row.key)) {
+            this->mergeGathered(row);
+            continue;
+        }
         const InstanceId from(rowName(row.key));
         if (from == this->self && this->isOwnReportKnown) {
             continue;
@@ -25,19 +33,27 @@
             continue;
         }
         limitReports[from] = shifted(report->limits, -this->storeClockOffset);
-        const CrashEvidence crashes = shifted(report->crashes, -this->storeClockOffset);
+        CrashEvidence reported = shifted(report->crashes, -this->storeClockOffset);
         if (from == this->self) {
-            this->context.fleetView.crashes.restore(crashes, now);
+            this->context.fleetView.crashes.restore(reported, now);
             this->isOwnReportKnown = true;
             continue;
         }
-        this->context.fleetView.crashes.merge(crashes, now);
-        for (const VersionReport &version : report->versions) {
-            shiftOf(this->context, version.service).merge(from, version);
-            this->logEvidence(from, version);
-        }
+        crashes.crashes.insert(crashes.crashes.end(), reported.crashes.begin(), reported.crashes.end());
+        crashes.cleared.insert(crashes.cleared.end(), reported.cleared.begin(), reported.cleared.end());
+        this->mergeVersions(from, report->versions);
     }
+    this->context.fleetView.crashes.merge(crashes, now);
     this->mergeLimits(limitReports);
+    this->logEvidence();
+}
+
+void FleetSync::mergeVersions(const InstanceId &from, const std::vector<VersionReport> &versions)
+{
+    for (const VersionReport &version : versions) {
+        shiftOf(this->context, version.service).merge(from, version);
+        this->mergedReports[version.service] += 1;
+    }
 }
 
 void FleetSync::mergeLimits(const std::map<InstanceId, LimitReport> &reports)
@@ -62,6 +78,10 @@
 
 void FleetSync::leave()
 {
+    if (this->relay) {
+        this->relay->leave();
+        asio::co_spawn(this->context.io, this->removeMember(), asio::detached);
+    }
     this->context.fleetView.upstreamLimiter.leave(bootClockNow());
     if (this->context.evidenceChanged) {
         this->context.evidenceChanged();
@@ -81,23 +101,28 @@
     }
 }
 
-void FleetSync::logEvidence(const InstanceId &from, const VersionReport &version)
+void FleetSync::logEvidence()
 {
-    for (const auto &[route, answers] : version.routes) {
-        this->context.log.line("evidence",
-                               {{"from", from.str()},
-                                {"service", version.service.str()},
-                                {"version", version.version.str()},
-                                {"route", route.str()},
-                                {"bad", static_cast<std::int64_t>(answers.candidate.bad)},
-                                {"served", static_cast<std::int64_t>(answers.candidate.served)},
-                                {"predecessor_bad", static_cast<std::int64_t>(answers.predecessor.bad)},
-                                {"predecessor_served", static_cast<std::int64_t>(answers.predecessor.served)},
-                                {"start_answers", static_cast<std::int64_t>(version.firstEventEvidence.answers)},
-                                {"start_log_odds", std::to_string(version.firstEventEvidence.logOdds())},
-                                {"pace_answers", static_cast<std::int64_t>(version.latencyEvidence.answers)},
-                                {"pace_log_odds", std::to_string(version.latencyEvidence.logOdds())}});
+    // One line for all reports of an answer: there may be hundreds.
+    for (const auto &[service, reports] : this->mergedReports) {
+        const VersionReport sum = shiftOf(this->context, service).totals();
+        for (const auto &[route, answers] : sum.routes) {
+            this->context.log.line("evidence",
+                                   {{"reports", static_cast<std::int64_t>(reports)},
+                                    {"service", service.str()},
+                                    {"version", sum.version.str()},
+                                    {"route", route.str()},
+                                    {"bad", static_cast<std::int64_t>(answers.candidate.bad)},
+                                    {"served", static_cast<std::int64_t>(answers.candidate.served)},
+                                    {"predecessor_bad", static_cast<std::int64_t>(answers.predecessor.bad)},
+                                    {"predecessor_served", static_cast<std::int64_t>(answers.predecessor.served)},
+                                    {"start_answers", static_cast<std::int64_t>(sum.firstEventEvidence.answers)},
+                                    {"start_log_odds", std::to_string(sum.firstEventEvidence.logOdds())},
+                                    {"pace_answers", static_cast<std::int64_t>(sum.latencyEvidence.answers)},
+                                    {"pace_log_odds", std::to_string(sum.latencyEvidence.logOdds())}});
+        }
     }
+    this->mergedReports.clear();
 }
 
 FleetReport FleetSync::report() const
@@ -112,13 +137,24 @@
     return own;
 }
 
+FleetReport FleetSync::rowReport() const
+{
+    FleetReport own = this->report();
+    if (!this->mayDecide()) {
+        // The reader has it from this instance's questions.
+        own.crashes = this->published.crashes;
+        own.versions = this->published.versions;
+    }
+    return own;
+}
+
 asio::awaitable<void> FleetSync::publish()
 {
     Milliseconds backoff = this->limits.publishDelay;
     while (this->publishPending) {
         this->publishPending = false;
         co_await sleepFor(backoff);
-        const FleetReport current = this->report();
+        const FleetReport current = this->rowReport();
         if (current == this->published) {
             continue;
         }
@@ -143,4 +179,59 @@
     this->publishing = false;
 }
 
+void FleetSync::onReport(const InstanceId &from, const std::string &text)
+{
+    LastReason reason;
+    const auto report = parseFleetReport(text, reason);
+    if (!report) {
+        this->context.log.line("report_unreadable", {{"row", from.str()}, {"detail", reason.failure().detail}});
+        return;
+    }
+    // This instance publishes the crashes as its own, as far as the others need to know them.
+    this->context.fleetView.crashes.restore(shifted(report->crashes, -this->storeClockOffset), bootClockNow());
+    this->mergeVersions(from, report->versions);
+    this->gathered[from] = report->versions;
+    this->isGatheredChanged = true;
+    if (!this->isGathering) {
+        this->isGathering = true;
+        asio::co_spawn(this->context.io, this->publishGathered(), asio::detached);
+    }
+    if (!report->crashes.crashes.empty() || !report->crashes.cleared.empty()) {
+        this->context.evidenceChanged();
+    }
+}
+
+asio::awaitable<void> FleetSync::publishGathered()
+{
+    std::string written;
+    while (this->isGatheredChanged) {
+        this->isGatheredChanged = false;
+        co_await sleepFor(this->limits.gatherDelay);
+        const std::string key = this->context.platform.rowKey(StoreTable::Fleet, gatheredRowName(this->self));
+        Transaction transaction;
+        transaction.puts.push_back({key, serialise(this->gathered)});
+        const TransactionOutcome outcome = co_await this->context.platform.transact(std::move(transaction));
+        if (!std::holds_alternative<TransactionCommitted>(outcome)) {
+            this->context.metrics.countEvent("report_not_written");
+            this->isGatheredChanged = true;
+        }
+    }
+    this->isGathering = false;
+}
+
+void FleetSync::mergeGathered(const TableRow &row)
+{
+    LastReason reason;
+    const auto reports = parseGathered(row.value, reason);
+    if (!reports) {
+        this->context.log.line("report_unreadable", {{"row", row.key}, {"detail", reason.failure().detail}});
+        return;
+    }
+    for (const auto &[from, versions] : *reports) {
+        if (from != this->self) {
+            this->mergeVersions(from, versions);
+        }
+    }
+}
+
 } // namespace parsleyvane
--- a/src/net/forward/fleetrollouts.cpp
+++ b/src/net/forward/fleetrollouts.cpp
@@ -12,6 +12,12 @@
 {
     const VersionShift &shift = shiftOf(this->context, service);
     const RolloutOrder order = *shift.order();
+    if (!this->mayDecide()) {
+        // The readers decide, who have everyone's evidence.
+        this->evaluateVersion(order);
+        this->advancingRollouts[service] = false;
+        co_return;
+    }
     if (!shift.state()) {
         co_await this->startRollout(order);
     } else if (this->isStatusMissing(service)) {
@@ -86,7 +92,7 @@
     }
     // Evidence may have arrived during the delay.
     this->evaluateVersion(order);
-    if (shift.state() == RolloutState::Running) {
+    if (shift.state() == RolloutState::Running && this->mayDecide()) {
         RolloutStatus status{.service = order.service, .to = order.to, .order = order.number};
         status.state = shift.isBad() ? RolloutState::RolledBack : RolloutState::Completed;
         co_await this->writeStatus(std::move(status));
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -38,8 +38,13 @@
         Reader{StoreTable::Fleet, "fleet", &FleetSync::mergeReports, &FleetSync::mergeReports},
     };
     for (const Reader &reader : this->readers) {
+        this->waits.try_emplace(reader.table, this->context.io);
         asio::co_spawn(this->context.io, this->readLoop(reader), asio::detached);
     }
+    if (this->relay) {
+        asio::co_spawn(this->context.io, this->join(), asio::detached);
+        this->relay->start();
+    }
     asio::co_spawn(this->context.io, this->tickLoop(), asio::detached);
     this->context.evidenceChanged = [this]() {
         this->publishPending = true;
@@ -53,6 +58,7 @@
 asio::awaitable<void> FleetSync::readLoop(Reader reader)
 {
     while (true) {
+        co_await this->waitForOwnRead(reader.table);
         const bool wasReachable = this->watch.isReachable(reader.table);
         const auto lastAnswer = this->watch.answeredAt(reader.table);
         LastReason reason;
@@ -67,31 +73,39 @@
 
 asio::awaitable<Milliseconds> FleetSync::readOnce(const Reader &reader, LastReason &reason)
 {
-    const TableRead read = this->watch.beginRead(reader.table, bootClockNow());
+    const TimePoint now = bootClockNow();
+    this->watch.setRelaying(this->relay && this->relay->isAsked(now));
+    this->context.metrics.countEvent("store_read_" + reader.name);
+    if (reader.table == StoreTable::Fleet && this->relay && this->context.evidenceChanged) {
+        // What another instance was told so far may have to be written by this one.
+        this->context.evidenceChanged();
+    }
+    const TableRead read = this->watch.beginRead(reader.table, now);
     if (!read.after) {
         const auto snapshot = co_await this->context.platform.readTable(reader.table, reason);
         this->updateEra();
         if (!snapshot) {
             co_return this->onReadFailed(reader.table);
         }
-        if (!this->watch.isCurrent(reader.table, snapshot->era)) {
+        if (!this->watch.isCurrent(reader.table, snapshot->era)
+            || this->watch.isOvertaken(reader.table, snapshot->version)) {
             co_return this->watch.onOutdatedAnswer(reader.table);
         }
         const Milliseconds pause = this->watch.onAnswer(reader.table, snapshot->version, bootClockNow());
         this->updateClockOffset(*snapshot);
-        (this->*reader.applyTable)(*snapshot);
-        this->readEras[reader.table] = snapshot->era;
+        this->applyRead(reader, *snapshot, true);
         co_return pause;
     }
     const ChangesOutcome outcome = co_await this->context.platform.readChanges(reader.table, *read.after, read.wait);
     this->updateEra();
     if (const auto *snapshot = std::get_if<TableSnapshot>(&outcome)) {
-        if (!this->watch.isCurrent(reader.table, snapshot->era)) {
+        if (!this->watch.isCurrent(reader.table, snapshot->era)
+            || this->watch.isOvertaken(reader.table, snapshot->version)) {
             co_return this->watch.onOutdatedAnswer(reader.table);
         }
         const Milliseconds pause = this->watch.onAnswer(reader.table, snapshot->version, bootClockNow());
         this->updateClockOffset(*snapshot);
-        (this->*reader.applyChanges)(*snapshot);
+        this->applyRead(reader, *snapshot, false);
         co_return pause;
     }
     if (std::holds_alternative<HistoryLost>(outcome)) {
@@ -112,6 +126,8 @@
     this->context.metrics.countEvent("store_restored");
     this->context.log.line("store_restored", {{"era", static_cast<std::int64_t>(era)}});
     this->published = FleetReport();
+    this->mirrors.clear();
+    this->endRelay();
     this->context.evidenceChanged();
     this->interruptReads();
 }
@@ -175,6 +191,9 @@
 void FleetSync::setBounds(const WatchBounds &bounds)
 {
     this->watch.setLimits(withBounds(this->limits.watch, bounds));
+    if (this->relay) {
+        this->relay->setAge(this->watch.relayAge());
+    }
 }
 
 void FleetSync::updateClockOffset(const TableSnapshot &snapshot)
@@ -205,6 +224,12 @@
         co_await sleepFor(this->limits.tickInterval);
         const TimePoint now = bootClockNow();
         this->interruptReads();
+        for (auto &[table, timer] : this->waits) {
+            // Its timer stands still while the machine is suspended.
+            if (this->watch.untilOwnRead(table, now) == Milliseconds(0)) {
+                timer.cancel();
+            }
+        }
         for (const UpstreamId &id : this->context.fleetView.upstreams.expire(now)) {
             this->context.log.line("upstream", {{"change", id.str() + " gone after its lapse"}});
         }
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -93,6 +93,13 @@
     this->shutdown.start();
     this->awaitStop();
     this->awaitReload();
+    const RelaySettings relay{.address = this->settings.listen.peers,
+                              .processorShare = this->settings.processorShare,
+                              .zones = this->settings.zones.size(),
+                              .isFirstStart = this->settings.isFirstStart};
+    if (!relay.address.empty() && !this->sync.startRelay(relay, reason)) {
+        return false;
+    }
     this->sync.start([this]() { this->applyConfiguration(); });
     asio::co_spawn(this->io, this->watchSettings(), asio::detached);
     return this->operators.listen(checkedEndpoint(this->settings.listen.operators), reason)
--- a/tests/fakeplatform.h
+++ b/tests/fakeplatform.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace parsleyvane::test {
@@ -44,10 +45,12 @@
     std::set<StoreTable> unreachableTables; ///< their reads fail at once
     bool isHistoryLost = false;
     unsigned fullReads = 0;
+    unsigned changeReads = 0;
     unsigned writes = 0;
     std::uint64_t era = 1;
     std::uint64_t namedEra = 0; ///< in the latest answer
     std::map<StoreTable, unsigned> interrupts; ///< calls of interruptRead()
+    const std::map<StoreTable, unsigned> *callersInterrupts = nullptr; ///< of the instance whose read begins next
     std::function<void(const Transaction &)> onTransact; ///< before a transaction is sent
 
     /// Rows, history and version as of one moment.
@@ -101,8 +104,15 @@
         co_return snapshot;
     }
 
+    /// Parts are not kept apart: the members of all tests are of one zone.
+    asio::awaitable<std::optional<TableSnapshot>> readPart(StoreTable table, std::string, LastReason &reason) override
+    {
+        co_return co_await this->readTable(table, reason);
+    }
+
     asio::awaitable<ChangesOutcome> readChanges(StoreTable table, std::uint64_t after, Milliseconds wait) override
     {
+        ++this->changeReads;
         const auto isQuiet = [this, table, after]() {
             return !this->isHistoryLost
                 && std::none_of(this->history.begin(), this->history.end(), [&](const Change &change) {
@@ -160,9 +170,10 @@
             }
         }
         for (const Transaction::Put &put : transaction.puts) {
-            const bool isStatus = put.key.starts_with("status/");
-            this->put(isStatus ? StoreTable::Status : StoreTable::Fleet, put.key.substr(put.key.find('/') + 1),
-                      put.value);
+            this->put(this->tableOf(put.key), rowName(put.key), put.value);
+        }
+        for (const std::string &key : transaction.removals) {
+            this->remove(this->tableOf(key), rowName(key));
         }
         co_return TransactionCommitted{};
     }
@@ -177,7 +188,8 @@
         const std::map<StoreTable, std::string> names = {{StoreTable::Orders, "orders"},
                                                          {StoreTable::Upstreams, "upstreams"},
                                                          {StoreTable::Status, "status"},
-                                                         {StoreTable::Fleet, "fleet"}};
+                                                         {StoreTable::Fleet, "fleet"},
+                                                         {StoreTable::Members, "members"}};
         return names.at(table) + "/" + name;
     }
 
@@ -239,6 +251,16 @@
     }
 
 private:
+    StoreTable tableOf(const std::string &key) const
+    {
+        for (const StoreTable table : {StoreTable::Status, StoreTable::Members}) {
+            if (key.starts_with(this->rowKey(table, ""))) {
+                return table;
+            }
+        }
+        return StoreTable::Fleet;
+    }
+
     static constexpr Milliseconds latency{5};
     static constexpr Milliseconds answerMargin{700}; ///< after its wait, a read without an answer fails
 
@@ -251,7 +273,15 @@
     /// Waits for the answer to a read. @return false when the read fails, is interrupted or never answered
     asio::awaitable<bool> waitWhile(StoreTable table, Milliseconds wait, std::function<bool()> isQuiet)
     {
-        const unsigned interruptsBefore = this->interrupts[table];
+        const auto *interruptsOfCaller = std::exchange(this->callersInterrupts, nullptr);
+        if (interruptsOfCaller == nullptr) {
+            interruptsOfCaller = &this->interrupts;
+        }
+        const auto interruptCount = [&]() {
+            const auto found = interruptsOfCaller->find(table);
+            return found != interruptsOfCaller->end() ? found->second : 0;
+        };
+        const unsigned interruptsBefore = interruptCount();
         bool isAnswerLost = false;
         Milliseconds waited{0};
         while (true) {
@@ -259,7 +289,7 @@
             waited += latency;
             isAnswerLost = isAnswerLost || this->isSilent;
             if (this->isUnreachable || this->unreachableTables.contains(table)
-                || this->interrupts[table] != interruptsBefore) {
+                || interruptCount() != interruptsBefore) {
                 co_return false;
             }
             if (isAnswerLost ? waited >= wait + answerMargin : waited >= wait || !isQuiet()) {
@@ -270,24 +300,128 @@
     }
 };
 
+/// @brief One instance's access to the store: its interrupts don't concern the reads of others.
+class MemberPlatform : public PlatformPort
+{
+public:
+    explicit MemberPlatform(FakePlatform &store)
+        : store(store)
+    {
+    }
+
+    asio::awaitable<std::optional<TableSnapshot>> readTable(StoreTable table, LastReason &reason) override
+    {
+        this->store.callersInterrupts = &this->interrupts;
+        co_return co_await this->store.readTable(table, reason);
+    }
+
+    asio::awaitable<std::optional<TableSnapshot>> readPart(StoreTable table, std::string part,
+                                                           LastReason &reason) override
+    {
+        this->store.callersInterrupts = &this->interrupts;
+        co_return co_await this->store.readPart(table, std::move(part), reason);
+    }
+
+    asio::awaitable<ChangesOutcome> readChanges(StoreTable table, std::uint64_t after, Milliseconds wait) override
+    {
+        this->store.callersInterrupts = &this->interrupts;
+        co_return co_await this->store.readChanges(table, after, wait);
+    }
+
+    void interruptRead(StoreTable table) override
+    {
+        ++this->interrupts[table];
+        this->store.interruptRead(table);
+    }
+
+    asio::awaitable<TransactionOutcome> transact(Transaction transaction) override
+    {
+        co_return co_await this->store.transact(std::move(transaction));
+    }
+
+    std::uint64_t storeEra() const override
+    {
+        return this->store.storeEra();
+    }
+
+    std::string rowKey(StoreTable table, const std::string &name) const override
+    {
+        return this->store.rowKey(table, name);
+    }
+
+    std::optional<OperatorOrder> readOrder(const TableRow &row, LastReason &reason) const override
+    {
+        return this->store.readOrder(row, reason);
+    }
+
+    std::optional<UpstreamEntry> readUpstream(const TableRow &row, LastReason &reason) const override
+    {
+        return this->store.readUpstream(row, reason);
+    }
+
+    std::optional<RolloutStatus> readStatus(const TableRow &row, LastReason &reason) const override
+    {
+        return this->store.readStatus(row, reason);
+    }
+
+    std::pair<std::string, std::string> writeStatus(const RolloutStatus &status) const override
+    {
+        return this->store.writeStatus(status);
+    }
+
+    std::optional<RequestFacts> readRequest(const HttpRequest &request, LastReason &reason) const override
+    {
+        return this->store.readRequest(request, reason);
+    }
+
+    HttpRequest makeUpstreamRequest(const HttpRequest &received, const DispatchFacts &facts) const override
+    {
+        return this->store.makeUpstreamRequest(received, facts);
+    }
+
+    AnswerHead readAnswer(const boost::beast::http::response_header<> &head) const override
+    {
+        return this->store.readAnswer(head);
+    }
+
+private:
+    FakePlatform &store;
+    std::map<StoreTable, unsigned> interrupts;
+};
+
 /// @brief Instances that share one store.
 struct FleetRig
 {
     struct Member
     {
-        Member(asio::io_context &io, FakePlatform &platform, const std::string &name)
-            : log(io, {.linesPerSecond = 0})
-            , context{.io = io, .platform = platform, .metrics = this->metrics, .log = this->log, .zone = ZoneId("a")}
+        Member(asio::io_context &io, FakePlatform &platform, const std::string &name, const std::string &address = {})
+            : platform(platform)
+            , log(io, {.linesPerSecond = 0})
+            , context{.io = io,
+                      .platform = this->platform,
+                      .metrics = this->metrics,
+                      .log = this->log,
+                      .zone = ZoneId("a")}
             , sync(this->context, InstanceId(name),
                    {.watch = {.upstreamsInterval = Milliseconds(10),
                               .fleetInterval = Milliseconds(10),
+                              .relayAge = relayAge,
+                              .relayStart = relayAge,
                               .initialBackoff = Milliseconds(10),
                               .maxBackoff = Milliseconds(20)},
                     .publishDelay = Milliseconds(10),
-                    .tickInterval = Milliseconds(20)})
+                    .gatherDelay = Milliseconds(10),
+                    .tickInterval = Milliseconds(20),
+                    .membersInterval = Milliseconds(100)})
         {
+            LastReason reason;
+            const RelaySettings relay{.address = address, .zones = 1};
+            this->isListening = address.empty() || this->sync.startRelay(relay, reason);
             this->sync.start([]() {});
         }
+        static constexpr Milliseconds relayAge{400};
+        bool isListening = false;
+        MemberPlatform platform;
         Metrics metrics;
         DecisionLog log;
         ForwardContext context;
@@ -304,6 +438,28 @@
         return *this->members.emplace_back(std::make_unique<Member>(this->io, this->platform, name));
     }
 
+    /// Adds an instance that exchanges what it reads with the others.
+    Member &addRelaying(const std::string &name)
+    {
+        return *this->members.emplace_back(
+            std::make_unique<Member>(this->io, this->platform, name, this->freeAddress()));
+    }
+
+    /// The listeners do not report their ports, so free ones are found beforehand.
+    std::string freeAddress()
+    {
+        const asio::ip::tcp::acceptor probe(this->io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        return "127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+    }
+
+    void runFor(Milliseconds duration)
+    {
+        const auto end = std::chrono::steady_clock::now() + duration;
+        while (std::chrono::steady_clock::now() < end) {
+            this->io.run_one_for(std::chrono::milliseconds(10));
+        }
+    }
+
     /// Runs until the condition holds, or for 20 s so that a failing test ends.
     template<typename Condition>
     bool runUntil(Condition condition)
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -68,6 +68,7 @@
         this->context.phase = ForwardPhase::Serving;
         this->context.fleetView.upstreamsKnown = true;
         this->context.budget.setBounds({.ratio = 10, .slack = 1000});
+        this->context.budget.setInstances(1);
         this->context.fleetView.table = this->table;
         LastReason reason;
         // The listener does not report its port, so a free one is found beforehand.
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -293,6 +293,7 @@
         test::property("retries never exceed ratio x requests + slack in any window", []() {
             const RepeatBounds bounds{.ratio = *rc::gen::element(0.1, 0.5, 0.9), .slack = 50};
             RepeatBudget budget(bounds);
+            budget.setInstances(1);
             const ServiceName service("s");
             std::vector<TimePoint> requests;
             std::vector<TimePoint> retries;
--- /dev/null
+++ b/tests/unit-net-relay.cpp
@@ -0,0 +1,349 @@
+#include "suite.h"
+
+#include "fakeplatform.h"
+
+#include "parsleyvane/relay/relaymessage.h"
+
+#include <algorithm>
+
+namespace parsleyvane::test {
+
+namespace {
+
+constexpr unsigned memberCount = 8;
+constexpr unsigned followedTables = 4;
+
+/// @brief A member of the zone that answers polls as a test says.
+class ScriptedReader
+{
+public:
+    ScriptedReader(FleetRig &rig, std::function<std::optional<RelayOffer>(const RelayPoll &)> answer)
+        : address(rig.freeAddress())
+        , answer(std::move(answer))
+        , server(rig.io, {}, [this](Exchange &exchange) { return this->handle(exchange); })
+    {
+        LastReason reason;
+        const auto endpoint = asio::ip::tcp::endpoint(
+            asio::ip::make_address("127.0.0.1"),
+            static_cast<std::uint16_t>(std::stoul(this->address.substr(this->address.find(':') + 1))));
+        this->isListening = this->server.listen(endpoint, reason);
+        const PeerMember member{InstanceId("reader"), this->address, 4};
+        rig.platform.put(StoreTable::Members, member.id.str(), serialise(member));
+        // With this one, the others are enough for a zone with readers; they are never asked.
+        for (const char *name : {"gone-1", "gone-2", "gone-3", "gone-4"}) {
+            rig.platform.put(StoreTable::Members, name, serialise(PeerMember{InstanceId(name), "127.0.0.1:1", 0}));
+        }
+    }
+
+    std::vector<RelayPoll> polls;
+    bool isListening = false;
+
+private:
+    asio::awaitable<void> handle(Exchange &exchange)
+    {
+        LastReason reason;
+        this->polls.push_back(parseRelayPoll(exchange.request().body(), reason).value_or(RelayPoll()));
+        asio::steady_timer pause(co_await asio::this_coro::executor, std::chrono::milliseconds(20));
+        co_await pause.async_wait(asio::use_awaitable);
+        const auto offer = this->answer(this->polls.back());
+        if (!offer) {
+            // It never answers, as a frozen instance.
+            asio::steady_timer frozen(co_await asio::this_coro::executor, std::chrono::seconds(30));
+            co_await frozen.async_wait(asio::use_awaitable);
+        }
+        co_await exchange.respond(200, "application/json", serialise(offer.value_or(RelayOffer())));
+    }
+
+    std::string address;
+    std::function<std::optional<RelayOffer>(const RelayPoll &)> answer;
+    HttpServer server;
+};
+
+bool knowsUpstream(const FleetRig::Member &member, const std::string &id)
+{
+    return member.context.fleetView.upstreams.find(UpstreamId(id)) != nullptr;
+}
+
+std::uint64_t revisionOf(const FleetRig::Member &member)
+{
+    return member.context.fleetView.table ? member.context.fleetView.table->revision().value() : 0;
+}
+
+/// What a reader offers that knows nothing but the configuration, confirmed just now.
+RelayOffer offerOf(const FakePlatform &platform, const RelayPoll &poll)
+{
+    RelayOffer offer{.era = platform.era, .confirmed = FakePlatform::now(), .members = 1, .tables = {}};
+    for (const auto &[table, version] : poll.versions) {
+        offer.tables[table] = {.since = version, .version = version};
+    }
+    return offer;
+}
+
+} // namespace
+
+/// Instances over real connections, one of whose zone reads the store for the others.
+class NetRelayTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NetRelayTest);
+    CPPUNIT_TEST(theReadersPassOnEachChange);
+    CPPUNIT_TEST(mostInstancesOfAQuietZoneReadNothing);
+    CPPUNIT_TEST(aFrozenReaderHidesNoChange);
+    CPPUNIT_TEST(aReaderThatLeavesIsNotAskedAgain);
+    CPPUNIT_TEST(oldNewsIsNotApplied);
+    CPPUNIT_TEST(newsOfAnotherEraIsNotApplied);
+    CPPUNIT_TEST(newsThatDoesNotContinueWhatIsKnownIsNotApplied);
+    CPPUNIT_TEST(aConfigurationThatIsTooLongToPassOnIsReadFromTheStore);
+    CPPUNIT_TEST(anOlderConfigurationIsNotTakenFromAReader);
+    CPPUNIT_TEST(evidenceReachesTheOthersByTheReaders);
+    CPPUNIT_TEST(evidenceIsWrittenWhenTheReaderIsGone);
+    CPPUNIT_TEST(anInstanceThatIsToldWhatWasReadDoesNotDecide);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void theReadersPassOnEachChange()
+    {
+        FleetRig rig;
+        startFleet(rig);
+        rig.platform.put(StoreTable::Upstreams, "u2", "v1");
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return allKnow(rig, "u2"); }));
+        rig.platform.remove(StoreTable::Upstreams, "u1");
+        CPPUNIT_ASSERT(rig.runUntil([&]() {
+            return std::none_of(rig.members.begin(), rig.members.end(),
+                                [](const auto &member) { return knowsUpstream(*member, "u1"); });
+        }));
+        rig.platform.put(StoreTable::Orders, "config", "2");
+        CPPUNIT_ASSERT(rig.runUntil([&]() {
+            return std::all_of(rig.members.begin(), rig.members.end(),
+                               [](const auto &member) { return revisionOf(*member) == 2; });
+        }));
+    }
+
+    void mostInstancesOfAQuietZoneReadNothing()
+    {
+        FleetRig rig;
+        startFleet(rig);
+        rig.runFor(FleetRig::Member::relayAge * 2);
+        const unsigned before = rig.platform.changeReads + rig.platform.fullReads;
+        constexpr int spans = 5;
+        rig.runFor(FleetRig::Member::relayAge * spans);
+        const unsigned reads = rig.platform.changeReads + rig.platform.fullReads - before;
+        // Two readers, which read the operator's table at least once in three quarters of the age.
+        constexpr unsigned readers = 2;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(reads), reads <= readers * (spans * 4 / 3 + followedTables));
+    }
+
+    void aFrozenReaderHidesNoChange()
+    {
+        FleetRig rig;
+        rig.platform.put(StoreTable::Orders, "config", "1");
+        rig.platform.put(StoreTable::Upstreams, "u1", "v1");
+        bool isFrozen = false;
+        const ScriptedReader reader(rig, [&](const RelayPoll &poll) {
+            return isFrozen ? std::nullopt : std::optional(offerOf(rig.platform, poll));
+        });
+        FleetRig::Member &member = rig.addRelaying("a");
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return reader.polls.size() > 3 && revisionOf(member) == 1; }));
+        isFrozen = true;
+        rig.platform.put(StoreTable::Orders, "config", "2");
+        rig.platform.put(StoreTable::Upstreams, "u2", "v1");
+        const auto frozenAt = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return revisionOf(member) == 2 && knowsUpstream(member, "u2"); }));
+        // A third of the bound, and two thirds for the upstreams, each with its jitter.
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - frozenAt < FleetRig::Member::relayAge * 3);
+    }
+
+    void aReaderThatLeavesIsNotAskedAgain()
+    {
+        FleetRig rig;
+        rig.platform.put(StoreTable::Orders, "config", "1");
+        bool isLeaving = false;
+        const ScriptedReader reader(rig, [&](const RelayPoll &poll) {
+            RelayOffer offer = offerOf(rig.platform, poll);
+            offer.isLeaving = isLeaving;
+            return std::optional(offer);
+        });
+        rig.addRelaying("a");
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return reader.polls.size() > 3; }));
+        isLeaving = true;
+        rig.runFor(Milliseconds(100));
+        const std::size_t polls = reader.polls.size();
+        rig.runFor(FleetRig::Member::relayAge * 2);
+        CPPUNIT_ASSERT_EQUAL(polls, reader.polls.size());
+    }
+
+    void oldNewsIsNotApplied()
+    {
+        // A reader that was frozen sends what it knew before.
+        CPPUNIT_ASSERT(!isApplied([](RelayOffer &offer) { offer.confirmed -= FleetRig::Member::relayAge * 2; }));
+        CPPUNIT_ASSERT(isApplied([](RelayOffer &) {}));
+    }
+
+    void newsOfAnotherEraIsNotApplied()
+    {
+        CPPUNIT_ASSERT(!isApplied([](RelayOffer &offer) { ++offer.era; }));
+        CPPUNIT_ASSERT(!isApplied([](RelayOffer &offer) { --offer.era; }));
+    }
+
+    void newsThatDoesNotContinueWhatIsKnownIsNotApplied()
+    {
+        CPPUNIT_ASSERT(!isApplied([](RelayOffer &offer) {
+            for (auto &[table, relayed] : offer.tables) {
+                ++relayed.since;
+                ++relayed.version;
+            }
+        }));
+    }
+
+    void aConfigurationThatIsTooLongToPassOnIsReadFromTheStore()
+    {
+        FleetRig rig;
+        startFleet(rig);
+        rig.platform.put(StoreTable::Orders, "config", "2" + std::string(100000, ' '));
+        CPPUNIT_ASSERT(rig.runUntil([&]() {
+            return std::all_of(rig.members.begin(), rig.members.end(),
+                               [](const auto &member) { return revisionOf(*member) == 2; });
+        }));
+    }
+
+    void anOlderConfigurationIsNotTakenFromAReader()
+    {
+        FleetRig rig;
+        rig.platform.put(StoreTable::Orders, "config", "7");
+        const ScriptedReader reader(rig, [&](const RelayPoll &poll) {
+            RelayOffer offer = offerOf(rig.platform, poll);
+            RelayedTable &orders = offer.tables.at(StoreTable::Orders);
+            orders.version += 1;
+            orders.rows = {{"orders/config", orders.version, "6"}};
+            return std::optional(offer);
+        });
+        FleetRig::Member &member = rig.addRelaying("a");
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return reader.polls.size() > 5; }));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, revisionOf(member));
+    }
+
+    void evidenceReachesTheOthersByTheReaders()
+    {
+        FleetRig rig;
+        startFleet(rig);
+        const unsigned writes = rig.platform.writes;
+        for (const auto &member : rig.members) {
+            addCrash(*member, "u1@1");
+            addCrash(*member, "u2@1");
+            addCrash(*member, "u3@1");
+        }
+        CPPUNIT_ASSERT(rig.runUntil([&]() {
+            return std::all_of(rig.members.begin(), rig.members.end(), [](const auto &member) {
+                return member->context.fleetView.crashes.blockedOf({Fingerprint("p")}).has_value();
+            });
+        }));
+        rig.runFor(FleetRig::Member::relayAge * 2);
+        // The rows of two readers, each written at most a few times while reports arrive.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(rig.platform.writes - writes), rig.platform.writes - writes <= 2 * 8);
+        std::size_t rows = 0;
+        for (const auto &[key, row] : rig.platform.rows) {
+            rows += key.starts_with("fleet/") && !isGatheredRow(key) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, rows);
+    }
+
+    void evidenceIsWrittenWhenTheReaderIsGone()
+    {
+        FleetRig rig;
+        rig.platform.put(StoreTable::Orders, "config", "1");
+        rig.platform.put(StoreTable::Upstreams, "u1", "v1");
+        bool isFrozen = false;
+        const ScriptedReader reader(rig, [&](const RelayPoll &poll) {
+            return isFrozen ? std::nullopt : std::optional(offerOf(rig.platform, poll));
+        });
+        FleetRig::Member &member = rig.addRelaying("a");
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return reader.polls.size() > 3; }));
+        addCrash(member, "u1@1");
+        CPPUNIT_ASSERT(rig.runUntil([&]() {
+            return std::any_of(reader.polls.begin(), reader.polls.end(),
+                               [](const RelayPoll &poll) { return poll.report.find("u1@1") != std::string::npos; });
+        }));
+        CPPUNIT_ASSERT(!rig.platform.rows.contains("fleet/a"));
+        isFrozen = true;
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return rig.platform.rows.contains("fleet/a"); }));
+        CPPUNIT_ASSERT(rig.platform.rows.at("fleet/a").value.find("u1@1") != std::string::npos);
+    }
+
+    void anInstanceThatIsToldWhatWasReadDoesNotDecide()
+    {
+        FleetRig rig;
+        startFleet(rig);
+        std::size_t deciders = 0;
+        rig.platform.onTransact = [&](const Transaction &transaction) {
+            deciders += transaction.puts.front().key.starts_with("status/") ? 1 : 0;
+        };
+        rig.platform.put(StoreTable::Orders, "rollout", "v2");
+        CPPUNIT_ASSERT(rig.runUntil([&]() {
+            return std::all_of(rig.members.begin(), rig.members.end(), [](const auto &member) {
+                const auto shift = member->context.fleetView.shifts.find(ServiceName("s"));
+                return shift != member->context.fleetView.shifts.end()
+                    && shift->second.state() == RolloutState::Completed;
+            });
+        }));
+        // Two readers, each of which may write the start and the end.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(deciders), deciders <= 4);
+    }
+
+private:
+    static bool allKnow(const FleetRig &rig, const std::string &upstream)
+    {
+        return std::all_of(rig.members.begin(), rig.members.end(),
+                           [&](const auto &member) { return knowsUpstream(*member, upstream); });
+    }
+
+    /// Starts a zone whose members know the configuration and the upstream u1.
+    static void startFleet(FleetRig &rig)
+    {
+        rig.platform.put(StoreTable::Orders, "config", "1");
+        rig.platform.put(StoreTable::Upstreams, "u1", "v1");
+        for (unsigned number = 0; number < memberCount; ++number) {
+            const FleetRig::Member &member = rig.addRelaying("m" + std::to_string(number));
+            CPPUNIT_ASSERT(member.isListening);
+            rig.runFor(Milliseconds(30));
+        }
+        CPPUNIT_ASSERT(rig.runUntil([&]() {
+            return allKnow(rig, "u1") && std::all_of(rig.members.begin(), rig.members.end(), [](const auto &member) {
+                       return revisionOf(*member) == 1;
+                   });
+        }));
+        // The first ones read the members again once there are more of them.
+        rig.runFor(FleetRig::Member::relayAge * 4);
+    }
+
+    /// Whether an instance applies an upstream that only the reader knows, in an offer that the test has changed.
+    static bool isApplied(const std::function<void(RelayOffer &)> &change)
+    {
+        FleetRig rig;
+        rig.platform.put(StoreTable::Orders, "config", "1");
+        rig.platform.put(StoreTable::Upstreams, "u1", "v1");
+        const ScriptedReader reader(rig, [&](const RelayPoll &poll) {
+            RelayOffer offer = offerOf(rig.platform, poll);
+            RelayedTable &upstreams = offer.tables.at(StoreTable::Upstreams);
+            if (poll.versions.at(StoreTable::Upstreams) > 0) {
+                upstreams.version += 1;
+                upstreams.rows = {{"upstreams/told", upstreams.version, "v1"}};
+            }
+            change(offer);
+            return std::optional(offer);
+        });
+        FleetRig::Member &member = rig.addRelaying("a");
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return knowsUpstream(member, "u1"); }));
+        rig.runFor(FleetRig::Member::relayAge * 2);
+        CPPUNIT_ASSERT(!reader.polls.empty());
+        return knowsUpstream(member, "told");
+    }
+
+    static void addCrash(FleetRig::Member &member, const std::string &site)
+    {
+        member.context.fleetView.crashes.onLost({Fingerprint("p")}, site, bootClockNow());
+        member.context.evidenceChanged();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(NetRelayTest);
+
+} // namespace parsleyvane::test
