Follow what upstreams say in their answers: that they leave, or want no requests for some time

Change: Server-Leaving marks the process as leaving, as the list does, whatever the store says; Retry-After of a 503 (decimal seconds, at most 60) keeps this instance's requests from the process until its end, also those that are about to be sent. A request that finds only such upstreams is rejected at once with the time until the first of them wants requests again. A new process under the id starts afresh. What can't be read is logged and counted. Tests, failing before (no such member): anUpstreamThatSaysThatItLeavesGetsNoMoreRequests, aProcessThatReplacesALeavingOneGets- Requests, anUpstreamThatWantsNoRequestsGetsNone, aRefusalTellsWhenAnUpstreamWantsRequestsAgain, and the headers' readings in unit-platform. build/unit-net-forward: OK (55), unit-platform: OK (19), unit-ingress: OK (27).

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -98,6 +98,8 @@
     bool escalateToLargerModel(const AnswerHead &facts);
     void recordResult(const UpstreamEntry &target, AttemptResult result);
     void recordCrash(const UpstreamEntry &target);
+    /// Records what an answer tells beside the answer: that the upstream leaves, or wants no requests for some time.
+    void recordAnnouncements(const UpstreamEntry &target, const AnswerHead &answer);
     void recordRequestRate(const UpstreamEntry &target, std::optional<RequestRate> rate);
     void recordSurvival(const UpstreamEntry &target);
     void recordVersionEvidence(AttemptResult result);
--- a/include/parsleyvane/forward/platformport.h
+++ b/include/parsleyvane/forward/platformport.h
@@ -63,6 +63,9 @@
     bool isEncoded = false; ///< the body has a content coding that no client requested
     std::optional<int> confidence; ///< the model's confidence in its answer, 0 to 100
     std::optional<RequestRate> requestRate; ///< what the upstream accepts from all instances together
+    bool isLeaving = false; ///< the upstream stops soon
+    std::optional<Milliseconds> retryAfter; ///< a refusing upstream wants no requests from this instance for so long
+    bool isRetryAfterReadable = true;
 };
 
 /// @brief Rows of a table, or their changes, as of one point in time.
--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -57,6 +57,7 @@
     Milliseconds backoff{0}; ///< length of the latest avoidance period
     double failureRate = 0; ///< exponential moving average over its attempts
     bool reportedDraining = false; ///< reported by the upstream itself, before its entry was updated
+    TimePoint notBefore{}; ///< it wants no requests of this instance until then
     std::optional<TimePoint> missingSince; ///< when its entry lapsed, during a store outage or soon after one
 };
 
@@ -111,7 +112,14 @@
     /// process that was replaced meanwhile is ignored.
     void recordOutcome(const UpstreamEntry &target, UpstreamOutcome verdict, TimePoint now);
 
+    /// @brief Records that the process wants no requests of this instance for some time. @return whether it is a later
+    /// end than the one known before
+    bool postpone(const UpstreamEntry &target, TimePoint until);
+
     // observers
+    /// @brief When the first upstream of the service wants requests again; nothing when one that is not leaving does
+    /// now, or there is none. Complexity: linear.
+    std::optional<TimePoint> earliestWanted(const ServiceName &service, TimePoint now) const;
     const RegisteredUpstream *find(const UpstreamId &id) const;
     /// @brief Calls the visitor with each upstream of the service that is not draining. Complexity: linear.
     void forEachUsable(const ServiceName &service, const std::function<void(const RegisteredUpstream &)> &visit) const;
--- a/src/core/ingress/upstreamchoice.cpp
+++ b/src/core/ingress/upstreamchoice.cpp
@@ -28,6 +28,9 @@
         if (!isVersionAllowed || (question.excluded && isSameProcess(upstream.entry, *question.excluded))) {
             return;
         }
+        if (now < upstream.notBefore) {
+            return;
+        }
         if (question.limitsPermit && !question.limitsPermit(upstream)) {
             return;
         }
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -40,6 +40,7 @@
         upstream.avoidUntil = TimePoint();
         upstream.backoff = Milliseconds(0);
         upstream.failureRate = 0;
+        upstream.notBefore = TimePoint();
     }
     if (entry.draining != upstream.entry.draining && !entry.draining) {
         upstream.reportedDraining = false;
@@ -218,6 +219,27 @@
     }
 }
 
+bool UpstreamList::postpone(const UpstreamEntry &target, TimePoint until)
+{
+    RegisteredUpstream *upstream = this->findProcess(target);
+    if (upstream == nullptr || until <= upstream->notBefore) {
+        return false;
+    }
+    upstream->notBefore = until;
+    return true;
+}
+
+std::optional<TimePoint> UpstreamList::earliestWanted(const ServiceName &service, TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    bool isWanted = false;
+    this->forEachUsable(service, [&](const RegisteredUpstream &upstream) {
+        isWanted = isWanted || upstream.notBefore <= now;
+        earliest = std::min(earliest.value_or(upstream.notBefore), upstream.notBefore);
+    });
+    return isWanted ? std::nullopt : earliest;
+}
+
 const RegisteredUpstream *UpstreamList::find(const UpstreamId &id) const
 {
     const auto found = this->upstreams.find(id);
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -236,6 +236,7 @@
             co_return AttemptResult::BadData;
         }
         this->recordRequestRate(target, answer.requestRate);
+        this->recordAnnouncements(target, answer);
         if (answer.notRun && !isSuccess(*status)) {
             if (*status == statusMisdirected) {
                 this->context.fleetView.upstreams.recordOutcome(target, UpstreamOutcome::ReportedDraining,
@@ -409,7 +410,7 @@
 {
     const RegisteredUpstream *upstream = this->context.fleetView.upstreams.find(target.id);
     const bool isSameTarget = upstream != nullptr && !upstream->reportedDraining && upstream->entry == target
-        && shiftOf(this->context, this->service()).phase() == this->rollout;
+        && upstream->notBefore <= bootClockNow() && shiftOf(this->context, this->service()).phase() == this->rollout;
     if (!isSameTarget || this->combinedRunState != RunState::NotRun
         || this->resolution->table == this->context.fleetView.table) {
         return isSameTarget;
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -95,6 +95,34 @@
                             {"ms", (bootClockNow() - this->sentAt).count()}});
 }
 
+void ForwardedRequest::recordAnnouncements(const UpstreamEntry &target, const AnswerHead &answer)
+{
+    UpstreamList &upstreams = this->context.fleetView.upstreams;
+    const TimePoint now = bootClockNow();
+    const RegisteredUpstream *known = upstreams.find(target.id);
+    const bool isKnown = known != nullptr && (known->reportedDraining || known->entry.draining);
+    if (answer.isLeaving && !isKnown) {
+        upstreams.recordOutcome(target, UpstreamOutcome::ReportedDraining, now);
+        this->context.metrics.countEvent("upstream_leaving_told");
+        this->context.log.line("upstream",
+                               {{"change", target.id.str() + " leaving"},
+                                {"source", "answer"},
+                                {"process", processName(target)},
+                                {"id", this->facts.id.str()}});
+    }
+    if (!answer.isRetryAfterReadable) {
+        this->context.metrics.countEvent("retry_after_unreadable");
+        this->context.log.line("retry_after_unreadable",
+                               {{"upstream", processName(target)}, {"id", this->facts.id.str()}});
+    }
+    if (answer.retryAfter && upstreams.postpone(target, now + *answer.retryAfter)) {
+        this->context.metrics.countEvent("upstream_postponed");
+        this->context.log.line(
+            "upstream_postponed",
+            {{"upstream", processName(target)}, {"id", this->facts.id.str()}, {"for", answer.retryAfter->count()}});
+    }
+}
+
 void ForwardedRequest::updateLoadLevel(Milliseconds waited)
 {
     constexpr double newestWeight = 0.1;
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -308,6 +308,11 @@
     }
     Failure failure{.id = ErrorId::NoCapacity, .step = Step::Answer, .runState = this->combinedRunState};
     failure.detail = "no upstream answered";
+    const TimePoint now = bootClockNow();
+    if (const auto wanted = this->context.fleetView.upstreams.earliestWanted(this->service(), now)) {
+        failure.detail = "no upstream wants requests now";
+        failure.retryAfter = *wanted - now;
+    }
     if (this->combinedRunState != RunState::NotRun) {
         failure.id = this->remainingTime() < minUsefulTime ? ErrorId::DeadlineExceeded : ErrorId::UpstreamLost;
     }
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -84,6 +84,10 @@
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsQuarantined);
     CPPUNIT_TEST(withoutAConfigurationRequestsGetARetryAfter);
     CPPUNIT_TEST(aStoppingInstanceAcceptsOnlyRequestsThatEndInTime);
+    CPPUNIT_TEST(anUpstreamThatSaysThatItLeavesGetsNoMoreRequests);
+    CPPUNIT_TEST(aProcessThatReplacesALeavingOneGetsRequests);
+    CPPUNIT_TEST(anUpstreamThatWantsNoRequestsGetsNone);
+    CPPUNIT_TEST(aRefusalTellsWhenAnUpstreamWantsRequestsAgain);
     CPPUNIT_TEST(twoContentLengthsAreRefused);
     CPPUNIT_TEST(aContentLengthWithChunkedCodingIsRefused);
     CPPUNIT_TEST(anUnknownTransferCodingIsRefused);
@@ -688,6 +692,81 @@
         CPPUNIT_ASSERT_EQUAL(503, statusOf(rig.exchange(clientRequest("/once/"))));
     }
 
+    void anUpstreamThatSaysThatItLeavesGetsNoMoreRequests()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        test::ScriptedUpstream &leaving
+            = rig.upstream("u", {{upstreamAnswer(200, "ok", "r-1", test::signatureHeader + "Server-Leaving: 1\r\n")}});
+        test::ScriptedUpstream &other = rig.remoteUpstream("v", {{upstreamAnswer(200, "ok")}});
+        // The one of the own zone is chosen first; its word binds from its first answer on.
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/once/"))));
+        for (int request = 0; request < 5; ++request) {
+            CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/once/"))));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leaving.requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, other.requests.size());
+    }
+
+    void aProcessThatReplacesALeavingOneGetsRequests()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        test::ScriptedUpstream &upstream
+            = rig.upstream("u",
+                           {{upstreamAnswer(200, "ok", "r-1", test::signatureHeader + "Server-Leaving: 1\r\n")},
+                            {upstreamAnswer(200, "ok")}});
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/once/"))));
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(rig.exchange(clientRequest("/once/"))));
+        UpstreamEntry entry = rig.context.fleetView.upstreams.find(UpstreamId("u"))->entry;
+        entry.startedAtMs = 1;
+        rig.context.fleetView.upstreams.update(entry);
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/once/"))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, upstream.requests.size());
+    }
+
+    void anUpstreamThatWantsNoRequestsGetsNone()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        const std::string refusal = "HTTP/1.1 503 Full\r\n" + test::requestIdHeader() + test::notExecutedHeader
+            + "Retry-After: 0.45\r\nContent-Length: 0\r\n\r\n";
+        test::ScriptedUpstream &refusing = rig.upstream("u", {{refusal}, {upstreamAnswer(200, "ok")}});
+        test::ScriptedUpstream &other = rig.remoteUpstream("v", {{upstreamAnswer(200, "ok")}});
+        const TimePoint end = bootClockNow() + Milliseconds(400);
+        unsigned requests = 0;
+        while (bootClockNow() < end) {
+            CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/once/"))));
+            ++requests;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, refusing.requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{requests}, other.requests.size());
+        rig.runFor(Milliseconds(150));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/once/"))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, refusing.requests.size());
+    }
+
+    void aRefusalTellsWhenAnUpstreamWantsRequestsAgain()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        const std::string refusal = "HTTP/1.1 503 Full\r\n" + test::requestIdHeader() + test::notExecutedHeader
+            + "Retry-After: 5\r\nContent-Length: 0\r\n\r\n";
+        test::ScriptedUpstream &upstream = rig.upstream("u", {{refusal}});
+        const TimePoint sentAt = bootClockNow();
+        for (int request = 0; request < 3; ++request) {
+            const std::string answer = rig.exchange(clientRequest("/once/"));
+            CPPUNIT_ASSERT_EQUAL(503, statusOf(answer));
+            const std::size_t field = answer.find("Retry-After: ");
+            CPPUNIT_ASSERT(field != std::string::npos);
+            const double seconds = std::stod(answer.substr(field + std::string("Retry-After: ").size()));
+            CPPUNIT_ASSERT(seconds > 4 && seconds <= 5);
+        }
+        // It is refused at once, not after a wait.
+        CPPUNIT_ASSERT(bootClockNow() - sentAt < Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.requests.size());
+    }
+
     /// Sends bytes that are not a valid request; nothing may reach the upstream.
     static std::string sendMalformed(const std::string &bytes)
     {
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -45,6 +45,8 @@
     CPPUNIT_TEST(removesHeadersReservedToTheSystem);
     CPPUNIT_TEST(removesHopByHopHeaders);
     CPPUNIT_TEST(readsTheLimitOfAnUpstream);
+    CPPUNIT_TEST(readsThatAnUpstreamLeaves);
+    CPPUNIT_TEST(readsHowLongAnUpstreamWantsNoRequests);
     CPPUNIT_TEST(readsAConfiguration);
     CPPUNIT_TEST(aStreamWithoutResumeRunsOnce);
     CPPUNIT_TEST(readsARollOutOrder);
@@ -153,6 +155,41 @@
         CPPUNIT_ASSERT(!platform::readAnswer({}).requestRate);
     }
 
+    void readsThatAnUpstreamLeaves()
+    {
+        const auto read = [](const std::string &value) {
+            http::response_header<> head;
+            head.set("Server-Leaving", value);
+            return platform::readAnswer(head).isLeaving;
+        };
+        CPPUNIT_ASSERT(read("1"));
+        for (const char *value : {"", "0", "-1", "10", "yes", "1 1"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !read(value));
+        }
+        CPPUNIT_ASSERT(!platform::readAnswer({}).isLeaving);
+    }
+
+    void readsHowLongAnUpstreamWantsNoRequests()
+    {
+        const auto read = [](const std::string &value, http::status status = http::status::service_unavailable) {
+            http::response_header<> head;
+            head.result(status);
+            head.set(http::field::retry_after, value);
+            return platform::readAnswer(head);
+        };
+        CPPUNIT_ASSERT(read("2").retryAfter == Milliseconds(2000));
+        CPPUNIT_ASSERT(read("0.35").retryAfter == Milliseconds(350));
+        CPPUNIT_ASSERT(read("0").retryAfter == Milliseconds(0));
+        CPPUNIT_ASSERT(read("0.0001").retryAfter == Milliseconds(1));
+        CPPUNIT_ASSERT(read("1e300").retryAfter == Milliseconds(60000));
+        for (const char *value : {"", "-1", "soon", "nan", "inf", "1,5", "Wed, 21 Oct 2015 07:28:00 GMT"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !read(value).retryAfter && !read(value).isRetryAfterReadable);
+        }
+        // Only a refusal with 503 asks for no work.
+        CPPUNIT_ASSERT(!read("2", http::status::ok).retryAfter);
+        CPPUNIT_ASSERT(!platform::readAnswer({}).retryAfter && platform::readAnswer({}).isRetryAfterReadable);
+    }
+
     void readsAConfiguration()
     {
         const std::string text
