Keep the parsed JSON while gathered reports are read from it

Cause: a range loop over a reference into a temporary; the stack of the crash line (FleetSync::readOnce, mergeReports, parseGathered) names it. Test: gatheredReportsSurviveTheirEncoding; on the code before it doesn't end (stopped by hand after ten minutes).

--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -208,7 +208,8 @@
 {
     try {
         GatheredReports reports;
-        for (const auto &[from, versions] : Json::parse(text).get_ref<const Json::object_t &>()) {
+        const Json json = Json::parse(text);
+        for (const auto &[from, versions] : json.get_ref<const Json::object_t &>()) {
             reports[InstanceId(from)] = readVersions(versions);
         }
         return reports;
--- a/tests/unit-relay.cpp
+++ b/tests/unit-relay.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(aMirrorLeavesOutWhatIsTooLong);
     CPPUNIT_TEST(messagesSurviveTheirEncoding);
     CPPUNIT_TEST(malformedMessagesAreRefused);
+    CPPUNIT_TEST(gatheredReportsSurviveTheirEncoding);
     CPPUNIT_TEST(aConfirmationSparesOwnReadsForAThirdOfTheBound);
     CPPUNIT_TEST(anAnswerThatWasOvertakenIsNotApplied);
     CPPUNIT_TEST(aRestoreEndsWhatWasRelayed);
@@ -213,6 +214,28 @@
         CPPUNIT_ASSERT(reason.failure().id == ErrorId::BadPeerData);
     }
 
+    void gatheredReportsSurviveTheirEncoding()
+    {
+        GatheredReports reports;
+        for (unsigned number = 0; number < 50; ++number) {
+            VersionReport report{.service = ServiceName("a service with a long name"),
+                                 .version = VersionName("v" + std::to_string(number)),
+                                 .routes = {},
+                                 .firstEventEvidence = {.allSlow = 0.5, .someSlow = -1, .answers = number},
+                                 .latencyEvidence = {},
+                                 .order = number};
+            report.routes[RouteName("r")] = {{.served = number, .bad = 1}, {.served = 2, .bad = 0}};
+            reports[InstanceId("edge-" + std::to_string(number))] = {report, report};
+        }
+        LastReason reason;
+        CPPUNIT_ASSERT(parseGathered(serialise(reports), reason) == reports);
+        reports[InstanceId("without evidence")] = {};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{50}, parseGathered(serialise(reports), reason)->size());
+        for (const char *text : {"", "[]", "{\"a\":{}", "{\"a\":[{}]}", "{\"a\":3}", "null"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !parseGathered(text, reason));
+        }
+    }
+
     void aConfirmationSparesOwnReadsForAThirdOfTheBound()
     {
         const WatchLimits limits = withBounds({}, {.change = Milliseconds(4000), .leaving = Milliseconds(3000)});
