Let a reader that is asked answer with a confirmation that is still of use

Found by unit-net-relay, mostInstancesOfAQuietZoneReadNothing (three or four of eight went on reading): an instance that asked for the first time got the reader's confirmation at once, though it was nearly as old as it may be, found it too old, and left the reader for two to eight seconds. A reader now waits for the read that the question itself brings about, unless what it has is younger than half of the age. With it, seen while reading the trace: answers of readers advance the store's time, which stood still at an instance that reads nothing, so that it would be dropped from the members that share upstreams' limits; and an instance that stops goes on asking. anInstanceThatIsToldRenewsItsReportOfLimits passes also without that, as its own reads happen to renew the time; not shown.

--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -126,7 +126,8 @@
     /// Logs whether the table was lost or regained, and tells the list of upstreams.
     void updateReachability(const Reader &reader, bool wasReachable, std::optional<TimePoint> lastAnswer,
                             const std::string &detail);
-    void updateClockOffset(const TableSnapshot &snapshot);
+    /// @param storeTime on the store's clock, of an answer that has just arrived
+    void updateClockOffset(Milliseconds storeTime);
     TimePoint localTime(Milliseconds storeTime) const;
     Milliseconds storeTimeNow() const;
     void mergeLimits(const std::map<InstanceId, LimitReport> &reports);
--- a/src/net/forward/fleetrelay.cpp
+++ b/src/net/forward/fleetrelay.cpp
@@ -113,6 +113,9 @@
         // The store was restored: it tells itself what holds now.
         this->endRelay();
     }
+    if (offer.era == era && this->isClockOffsetKnown) {
+        this->updateClockOffset(offer.confirmed);
+    }
     const TimePoint now = bootClockNow();
     const TimePoint confirmedAt = std::min(this->localTime(offer.confirmed), now);
     const bool isUseful = offer.era == era && this->isClockOffsetKnown && now - confirmedAt <= this->watch.relayAge();
@@ -198,7 +201,15 @@
 
 bool FleetSync::hasNews(const RelayPoll &poll) const
 {
-    if (poll.era != this->context.platform.storeEra() || this->confirmed > poll.confirmed) {
+    if (poll.era != this->context.platform.storeEra()) {
+        return true;
+    }
+    // The read that is made for the asker confirms in a few ms what would be of no use to it soon.
+    const bool isYoung = bootClockNow() - this->localTime(this->confirmed) <= this->watch.relayAge() / 2;
+    if (!isYoung) {
+        return false;
+    }
+    if (this->confirmed > poll.confirmed) {
         return true;
     }
     return std::any_of(poll.versions.begin(), poll.versions.end(), [&](const auto &known) {
@@ -281,7 +292,7 @@
         this->endRelay();
         co_return false;
     }
-    this->updateClockOffset(*snapshot);
+    this->updateClockOffset(snapshot->storeTime);
     std::vector<PeerMember> members;
     for (const TableRow &row : snapshot->rows) {
         if (auto member = parsePeerMember(InstanceId(rowName(row.key)), row.value)) {
--- a/src/net/forward/fleetsync.cpp
+++ b/src/net/forward/fleetsync.cpp
@@ -89,7 +89,7 @@
             co_return this->watch.onOutdatedAnswer(reader.table);
         }
         const Milliseconds pause = this->watch.onAnswer(reader.table, snapshot->version, bootClockNow());
-        this->updateClockOffset(*snapshot);
+        this->updateClockOffset(snapshot->storeTime);
         this->applyRead(reader, *snapshot, true);
         co_return pause;
     }
@@ -101,7 +101,7 @@
             co_return this->watch.onOutdatedAnswer(reader.table);
         }
         const Milliseconds pause = this->watch.onAnswer(reader.table, snapshot->version, bootClockNow());
-        this->updateClockOffset(*snapshot);
+        this->updateClockOffset(snapshot->storeTime);
         this->applyRead(reader, *snapshot, false);
         co_return pause;
     }
@@ -193,13 +193,13 @@
     }
 }
 
-void FleetSync::updateClockOffset(const TableSnapshot &snapshot)
+void FleetSync::updateClockOffset(Milliseconds storeTime)
 {
-    const Milliseconds offset = snapshot.storeTime - bootClockNow().time_since_epoch();
+    const Milliseconds offset = storeTime - bootClockNow().time_since_epoch();
     // Network latency only lowers the measured offset, so the largest one is the most accurate.
     this->storeClockOffset = this->isClockOffsetKnown ? std::max(this->storeClockOffset, offset) : offset;
     this->isClockOffsetKnown = true;
-    this->latestStoreTime = std::max(this->latestStoreTime, snapshot.storeTime);
+    this->latestStoreTime = std::max(this->latestStoreTime, storeTime);
 }
 
 Milliseconds FleetSync::storeTimeNow() const
--- a/src/net/forward/storerelay.cpp
+++ b/src/net/forward/storerelay.cpp
@@ -114,7 +114,7 @@
 
 asio::awaitable<void> StoreRelay::askLoop()
 {
-    while (!this->isLeaving) {
+    while (true) {
         const auto reader = this->choice.reader(bootClockNow());
         if (!reader) {
             this->connection.reset();
--- a/tests/relayworld.h
+++ b/tests/relayworld.h
@@ -280,7 +280,9 @@
             reader.watch.setRelaying(true);
         }
         const bool answers = this->isRunning(reader) && this->now >= reader.peersCutUntil;
-        if (answers && (reader.confirmed > pending.confirmed || waited >= instance.watch.relayAge())) {
+        const bool isYoung = this->now - reader.confirmed <= reader.watch.relayAge() / 2;
+        const bool isNews = isYoung && reader.confirmed > pending.confirmed;
+        if (answers && (isNews || waited >= instance.watch.relayAge())) {
             constexpr Milliseconds latency{10};
             instance.offer = Offer{this->now + latency, reader.confirmed, reader.known};
             instance.poll.reset();
--- a/tests/unit-net-relay.cpp
+++ b/tests/unit-net-relay.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(anOlderConfigurationIsNotTakenFromAReader);
     CPPUNIT_TEST(evidenceReachesTheOthersByTheReaders);
     CPPUNIT_TEST(evidenceIsWrittenWhenTheReaderIsGone);
+    CPPUNIT_TEST(anInstanceThatIsToldRenewsItsReportOfLimits);
     CPPUNIT_TEST(anInstanceThatIsToldWhatWasReadDoesNotDecide);
     CPPUNIT_TEST(aVersionThatOnlyOthersFindBadIsRolledBackByTheReaders);
     CPPUNIT_TEST_SUITE_END();
@@ -275,6 +276,33 @@
         CPPUNIT_ASSERT(rig.platform.rows.at("fleet/a").value.find("u1@1") != std::string::npos);
     }
 
+    void anInstanceThatIsToldRenewsItsReportOfLimits()
+    {
+        // The others drop a member whose reports name no new period of the store's clock.
+        FleetRig rig;
+        rig.platform.put(StoreTable::Orders, "config", "1");
+        const ScriptedReader reader(rig,
+                                    [&](const RelayPoll &poll) { return std::optional(offerOf(rig.platform, poll)); });
+        FleetRig::Member &member = rig.addRelaying("a");
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return reader.polls.size() > 3; }));
+        UpstreamLimiter &limiter = member.context.fleetView.upstreamLimiter;
+        limiter = UpstreamLimiter({.reportPeriod = Milliseconds(500)});
+        limiter.setSelf(InstanceId("a"));
+        limiter.merge({}, bootClockNow());
+        const UpstreamEntry entry{.id = UpstreamId("u"), .service = ServiceName("s")};
+        limiter.onAnswer(entry, RequestRate{5}, bootClockNow(), bootClockNow());
+        member.context.evidenceChanged();
+        const auto periodWritten = [&]() {
+            const auto row = rig.platform.rows.find("fleet/a");
+            LastReason reason;
+            return row != rig.platform.rows.end() ? parseFleetReport(row->second.value, reason)->limits.period : 0;
+        };
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return periodWritten() > 0; }));
+        const std::int64_t first = periodWritten();
+        constexpr std::int64_t periods = 8;
+        CPPUNIT_ASSERT(rig.runUntil([&]() { return periodWritten() >= first + periods; }));
+    }
+
     void anInstanceThatIsToldWhatWasReadDoesNotDecide()
     {
         FleetRig rig;
