--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++20 -O1 -Wall -Wextra -pthread review/standins/standin.cpp -o target/review/standin
+g++ -std=c++20 -O1 -Wall -Wextra -pthread review/standins/standin.cc -o target/review/standin
