--- a/review/standins/standin.cc
+++ b/review/standins/standin.cc
@@ -3,7 +3,7 @@
  * @brief Stand-ins for the cases of the review: the platform's store, model servers, clients, the operator, and the
  * judges that check a rule from what the others recorded. They do what the users' pages say and no more.
  *
- * standin store|server|client|operator|ports|judge-recover|judge-budget --NAME=VALUE ...
+ * standin store|server|client|operator|ports|judge-recover|judge-budget|judge-lost --NAME=VALUE ...
  */
 #include <algorithm>
 #include <arpa/inet.h>
@@ -590,8 +590,11 @@
         const bool isPoison = request.body.find("poison") != std::string::npos
             || request.header("x-parsleyvane-prompt-prefix").find("bad0bad0:") != std::string::npos;
         this->record.line("server=" + this->id + " arrival attempt=" + attempt + " poison=" + (isPoison ? "1" : "0"));
-        if (++this->running > number(this->options, "slots", 64)) {
+        const std::int64_t fullAfter = number(this->options, "full-after-ms", 0);
+        const bool isFull = fullAfter > 0 && nowMs() - this->born > fullAfter;
+        if (++this->running > number(this->options, "slots", 64) || isFull) {
             --this->running;
+            this->record.line("server=" + this->id + " refused attempt=" + attempt);
             return channel.send(reply(503, echo + "X-Parsleyvane-Not-Executed: 1\r\n", ""));
         }
         const bool isKept = this->stream(channel, request, isPoison, echo);
@@ -631,11 +634,28 @@
             if (isPoison && event - first + 1 >= eventsBeforeCrash) {
                 this->crash(attempt);
             }
-            sleepMs(number(this->options, "event-gap-ms", 10));
+            const bool isPreempted = event - first + 1 == number(this->options, "pause-after-events", 0);
+            if (!this->wait(channel, number(this->options, isPreempted ? "pause-ms" : "event-gap-ms", 10))) {
+                this->record.line("server=" + this->id + " left attempt=" + attempt
+                                  + " events=" + std::to_string(event));
+                return false;
+            }
         }
         this->record.line("server=" + this->id + " finished attempt=" + attempt);
         return channel.send("0\r\n\r\n");
     }
+    /// Waits unless the caller closes its channel. @return whether it is still there
+    static bool wait(const Channel &channel, std::int64_t duration)
+    {
+        const std::int64_t until = nowMs() + duration;
+        while (nowMs() < until) {
+            sleepMs(std::min<std::int64_t>(20, std::max<std::int64_t>(1, until - nowMs())));
+            if (channel.isClosedByPeer()) {
+                return false;
+            }
+        }
+        return true;
+    }
     [[noreturn]] void crash(const std::string &attempt)
     {
         this->record.line("server=" + this->id + " crashed attempt=" + attempt);
@@ -963,6 +983,53 @@
     return isBroken ? 1 : 0;
 }
 
+/// LOST, around planned work: a process has read a whole request, has passed it on, and the channel ends without a
+/// complete answer, though no server broke off and neither the time budget nor the route's timeout was reached. The
+/// record is of a deployment with one machine, which got SIGTERM at the line "planned stop".
+int judgeLost(const Options &options)
+{
+    const std::string path = option(options, "record");
+    const std::vector<Line> lines = readRecord(path);
+    std::int64_t stopAt = 0;
+    std::set<std::string> arrived;
+    std::set<std::string> brokenOff;
+    for (const Line &line : lines) {
+        stopAt = line.text == "planned stop" ? line.at : stopAt;
+        if (line.text.find(" arrival ") != std::string::npos) {
+            arrived.insert(line.field("attempt"));
+        }
+        if (line.text.find(" crashed ") != std::string::npos) {
+            brokenOff.insert(line.field("attempt"));
+        }
+    }
+    std::size_t answered = 0;
+    std::size_t lost = 0;
+    for (const Line &line : lines) {
+        const std::string answer = line.field("answer");
+        if (!line.text.starts_with("client ") || answer.empty()) {
+            continue;
+        }
+        answered += answer == "200" ? 1 : 0;
+        const bool isCut = answer == "200_cut" || answer == "no_answer";
+        const std::string attempt = line.field("attempt");
+        // The last sixth of the grace time, in which a server's work may be cut, isn't judged.
+        const std::int64_t judgedUntil = stopAt + number(options, "grace-ms", 8000) * 5 / 6;
+        if (isCut && line.at >= stopAt && line.at < judgedUntil && arrived.contains(attempt)
+            && !brokenOff.contains(attempt)) {
+            ++lost;
+        }
+    }
+    if (stopAt == 0 || answered < 5) {
+        std::cerr << "no planned stop, or too few answers\n";
+        return 2;
+    }
+    std::ostringstream result;
+    result << "verdict LOST " << (lost > 0 ? "broken" : "held") << " lost=" << lost << " answered=" << answered;
+    Record(path).line(result.str());
+    std::cout << result.str() << "\n";
+    return lost > 0 ? 1 : 0;
+}
+
 /// Prints free loopback ports.
 int printPorts(const Options &options)
 {
@@ -999,9 +1066,10 @@
             options[text.substr(2, equals - 2)] = text.substr(equals + 1);
         }
     }
-    const std::map<std::string, std::function<int(const Options &)>> modes = {
-        {"store", runStore},   {"server", runServer},           {"client", runClient},        {"operator", runOperator},
-        {"ports", printPorts}, {"judge-recover", judgeRecover}, {"judge-budget", judgeBudget}};
+    const std::map<std::string, std::function<int(const Options &)>> modes
+        = {{"store", runStore},           {"server", runServer},    {"client", runClient},
+           {"operator", runOperator},     {"ports", printPorts},    {"judge-recover", judgeRecover},
+           {"judge-budget", judgeBudget}, {"judge-lost", judgeLost}};
     const auto mode = modes.find(argc > 1 ? argv[1] : "");
     if (mode == modes.end()) {
         std::cerr << "unknown mode\n";
