--- a/review/standins/lib.sh
+++ b/review/standins/lib.sh
@@ -40,11 +40,19 @@
     shift 2
     [ -x "$standin" ] && [ -x "$daemon" ] || give_up "the deploy file's build or review/build.sh is missing"
     router_count=$routers
-    read -r -a ports <<<"$("$standin" ports --count=$((1 + servers + 3 * routers)))"
+    read -r -a ports <<<"$("$standin" ports --count=$((2 + servers + 3 * routers)))"
     store=127.0.0.1:${ports[0]}
     : >"$record"
     "$standin" store --listen="$store" >/dev/null &
     other_pids+=($!)
+    store_path=$store
+    if [ "${with_path:-no}" = yes ]; then
+        # The machines reach the store by a path that a script can cut.
+        store_path=127.0.0.1:${ports[1 + servers + 3 * routers]}
+        "$standin" path --listen="$store_path" --to="$store" >/dev/null &
+        path_pid=$!
+        other_pids+=("$path_pid")
+    fi
     sleep 0.3
     write_config 1 || give_up "the store does not answer"
     local at
@@ -88,7 +96,7 @@
 peers = 127.0.0.1:$2
 
 [platform]
-address = $store
+address = $store_path
 
 [limits]
 least-confidence = 60
--- a/review/standins/standin.cc
+++ b/review/standins/standin.cc
@@ -3,7 +3,7 @@
  * @brief Stand-ins for the cases of the review: the platform's store, model servers, clients, the operator, and the
  * judges that check a rule from what the others recorded. They do what the users' pages say and no more.
  *
- * standin store|server|client|operator|ports|judge-recover|judge-budget|judge-lost --NAME=VALUE ...
+ * standin store|server|client|operator|ports|judge-recover|judge-budget|judge-lost|judge-drain|path --NAME=VALUE ...
  */
 #include <algorithm>
 #include <arpa/inet.h>
@@ -251,13 +251,13 @@
     return std::make_unique<Channel>(fd);
 }
 
-int listenAt(const std::string &text)
+int listenAt(const std::string &text, int queue = 1024)
 {
     const sockaddr_in address = addressOf(text);
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int on = 1;
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (::bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || ::listen(fd, 1024) != 0) {
+    if (::bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0 || ::listen(fd, queue) != 0) {
         std::cerr << "cannot listen at " << text << "\n";
         std::exit(2);
     }
@@ -507,18 +507,21 @@
     return 0;
 }
 
-/// Writes a row as the operator or a server. @return the store's status; 0 without an answer
-int putRow(const std::string &store, const std::string &table, const std::string &key, const std::string &value)
+/// Writes or removes a row as the operator or a server. @return the store's status; 0 without an answer
+int putRow(const std::string &store, const std::string &table, const std::string &key, const std::string &value,
+           bool isRemoved = false)
 {
     constexpr std::int64_t timeoutMs = 2000;
     const auto channel = connectTo(store);
     if (!channel) {
         return 0;
     }
-    const Json call{
-        {"expected_revision", Json::array()},
-        {"writes", Json::array({Json{{"table", table}, {"part", ""}, {"key", key}, {"value", base64(value)}}})},
-        {"remove", Json::array()}};
+    Json row{{"table", table}, {"part", ""}, {"key", key}};
+    Json call{{"expected_revision", Json::array()}, {"writes", Json::array()}, {"remove", Json::array()}};
+    if (!isRemoved) {
+        row["value"] = base64(value);
+    }
+    call[isRemoved ? "remove" : "writes"].push_back(row);
     const std::string body = call.dump();
     channel->send("POST /rows-tx HTTP/1.1\r\nHost: store\r\nX-Standin: 1\r\nContent-Length: "
                   + std::to_string(body.size()) + "\r\n\r\n" + body);
@@ -536,8 +539,107 @@
     return status == 200 ? 0 : 2;
 }
 
+// --- a path that can be cut ------------------------------------------------------------------------------------------
+
+std::atomic<bool> isPathCut{false};
+
+void cutPath(int)
+{
+    isPathCut = true;
+}
+
+void healPath(int)
+{
+    isPathCut = false;
+}
+
+/// Copies bytes between two sockets; while the path is cut, nothing passes.
+void forward(int from, int to)
+{
+    constexpr std::int64_t stepMs = 5;
+    std::array<char, 16384> bytes{};
+    while (true) {
+        pollfd waiting{.fd = from, .events = POLLIN, .revents = 0};
+        if (isPathCut || ::poll(&waiting, 1, static_cast<int>(stepMs)) == 0) {
+            sleepMs(isPathCut ? stepMs : 0);
+            continue;
+        }
+        const auto n = ::recv(from, bytes.data(), bytes.size(), 0);
+        while (isPathCut) {
+            sleepMs(stepMs);
+        }
+        if (n <= 0 || ::send(to, bytes.data(), static_cast<std::size_t>(n), MSG_NOSIGNAL) != n) {
+            break;
+        }
+    }
+    ::shutdown(from, SHUT_RDWR);
+    ::shutdown(to, SHUT_RDWR);
+}
+
+/// Fills the queue of new connections, so that further ones are not answered, as behind a partition.
+std::vector<int> fillQueue(const std::string &listen)
+{
+    constexpr int connections = 6;
+    const sockaddr_in address = addressOf(listen);
+    std::vector<int> filling;
+    for (int at = 0; at < connections; ++at) {
+        const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        ::connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        filling.push_back(fd);
+    }
+    return filling;
+}
+
+/// A path to the store: SIGUSR1 cuts it, SIGUSR2 heals it. During a cut new connections don't come about, and what is
+/// sent on open ones is held up.
+int runPath(const Options &options)
+{
+    constexpr int stepMs = 5;
+    ::signal(SIGUSR1, cutPath);
+    ::signal(SIGUSR2, healPath);
+    const std::string listen = option(options, "listen");
+    const int listener = listenAt(listen, 1);
+    while (true) {
+        if (isPathCut) {
+            const std::vector<int> filling = fillQueue(listen);
+            while (isPathCut) {
+                sleepMs(stepMs);
+            }
+            for (const int fd : filling) {
+                ::close(fd);
+            }
+        }
+        pollfd waiting{.fd = listener, .events = POLLIN, .revents = 0};
+        if (::poll(&waiting, 1, stepMs) <= 0 || isPathCut) {
+            continue;
+        }
+        const int client = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (client < 0) {
+            continue;
+        }
+        std::thread([client, &options]() {
+            const sockaddr_in address = addressOf(option(options, "to"));
+            const int server = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            if (::connect(server, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0) {
+                std::thread back([client, server]() { forward(server, client); });
+                forward(client, server);
+                back.join();
+            }
+            ::close(client);
+            ::close(server);
+        }).detach();
+    }
+}
+
 // --- model servers --------------------------------------------------------------------------------------------------
 
+std::atomic<bool> leaveRequested{false};
+
+void requestLeave(int)
+{
+    leaveRequested = true;
+}
+
 /// A server of a service. It crashes on a request whose body holds the word "poison", as PROTOCOL.md allows.
 class Server
 {
@@ -552,8 +654,9 @@
     void run()
     {
         constexpr std::int64_t heartbeatMs = 1200;
+        constexpr std::int64_t leaveCheckMs = 20;
         std::thread([this]() {
-            for (std::int64_t sequence = 1;; ++sequence) {
+            for (std::int64_t sequence = 1; !leaveRequested; ++sequence) {
                 const Json entry{{"service", option(this->options, "service")},
                                  {"address", option(this->options, "listen")},
                                  {"zone", option(this->options, "zone")},
@@ -564,8 +667,15 @@
                                  {"sequence", sequence},
                                  {"born", this->born}};
                 putRow(option(this->options, "store"), "servers", this->id, entry.dump());
-                sleepMs(heartbeatMs);
+                for (std::int64_t waited = 0; waited < heartbeatMs && !leaveRequested; waited += leaveCheckMs) {
+                    sleepMs(leaveCheckMs);
+                }
             }
+            // It never reports that it drains: its entry is removed, and it continues serving for some time.
+            const int status = putRow(option(this->options, "store"), "servers", this->id, "", true);
+            this->record.line("server=" + this->id + " entry_removed status=" + std::to_string(status));
+            sleepMs(number(this->options, "serves-on-ms", 4000));
+            ::_exit(0);
         }).detach();
         this->record.line("server=" + this->id + " started");
         const std::function<bool(Channel &, const Message &)> handle
@@ -678,6 +788,13 @@
     }
 }
 
+void passLeaveOn(int)
+{
+    if (serverChild > 0) {
+        ::kill(serverChild, SIGUSR2);
+    }
+}
+
 void endBoth(int)
 {
     killChild(0);
@@ -685,7 +802,7 @@
 }
 
 /// Runs the server in a child process and starts it anew, as another boot with another id, some time after it has died.
-/// SIGUSR1 crashes it.
+/// SIGUSR1 crashes it; at SIGUSR2 it leaves as planned.
 int runServer(const Options &options)
 {
     struct sigaction action
@@ -693,6 +810,8 @@
     };
     action.sa_handler = killChild;
     ::sigaction(SIGUSR1, &action, nullptr);
+    action.sa_handler = passLeaveOn;
+    ::sigaction(SIGUSR2, &action, nullptr);
     action.sa_handler = endBoth;
     ::sigaction(SIGTERM, &action, nullptr);
     const Record record(option(options, "record"));
@@ -700,6 +819,7 @@
         serverChild = ::fork();
         if (serverChild == 0) {
             ::signal(SIGUSR1, SIG_DFL);
+            ::signal(SIGUSR2, requestLeave);
             ::signal(SIGTERM, SIG_DFL);
             Server(options, boot).run();
             ::_exit(0);
@@ -1030,6 +1150,48 @@
     return lost > 0 ? 1 : 0;
 }
 
+/// DRAIN: a request reaches a server later than drain_ms after the store has acknowledged that the server is gone, sent
+/// on by a machine in touch: here, later than stable_window_ms after the machine's path to the store has healed. The
+/// record is of a deployment with one machine, whose store is sound all the while.
+int judgeDrain(const Options &options)
+{
+    const std::string path = option(options, "record");
+    const std::vector<Line> lines = readRecord(path);
+    std::size_t served = 0;
+    std::size_t late = 0;
+    std::int64_t latest = 0;
+    std::int64_t cutAt = 0;
+    std::int64_t healedAt = 0;
+    std::map<std::string, std::int64_t> goneAt;
+    for (const Line &line : lines) {
+        served += line.text.starts_with("request tag=sound") && line.field("served") == "1" ? 1 : 0;
+        cutAt = line.text == "path cut" ? line.at : cutAt;
+        healedAt = line.text == "path healed" ? line.at : healedAt;
+        if (line.text.find(" entry_removed status=200") != std::string::npos) {
+            goneAt[line.field("server")] = line.at;
+        }
+        const auto gone = goneAt.find(line.field("server"));
+        if (line.text.find(" arrival ") == std::string::npos || gone == goneAt.end()) {
+            continue;
+        }
+        const bool isInTouch = healedAt >= cutAt && line.at > healedAt + number(options, "stable-window-ms", 3000);
+        if (isInTouch && line.at > gone->second + number(options, "drain-ms", 2000)) {
+            ++late;
+            latest = std::max(latest, line.at - gone->second);
+        }
+    }
+    if (served < 20 || goneAt.size() < 2) {
+        std::cerr << "too few requests were served, or servers left\n";
+        return 2;
+    }
+    std::ostringstream result;
+    result << "verdict DRAIN " << (late > 0 ? "broken" : "held") << " late=" << late << " latest_ms=" << latest
+           << " left=" << goneAt.size() << " served=" << served;
+    Record(path).line(result.str());
+    std::cout << result.str() << "\n";
+    return late > 0 ? 1 : 0;
+}
+
 /// Prints free loopback ports.
 int printPorts(const Options &options)
 {
@@ -1067,9 +1229,11 @@
         }
     }
     const std::map<std::string, std::function<int(const Options &)>> modes
-        = {{"store", runStore},           {"server", runServer},    {"client", runClient},
-           {"operator", runOperator},     {"ports", printPorts},    {"judge-recover", judgeRecover},
-           {"judge-budget", judgeBudget}, {"judge-lost", judgeLost}};
+        = {{"store", runStore},           {"server", runServer},
+           {"client", runClient},         {"operator", runOperator},
+           {"ports", printPorts},         {"judge-recover", judgeRecover},
+           {"judge-budget", judgeBudget}, {"judge-lost", judgeLost},
+           {"judge-drain", judgeDrain},   {"path", runPath}};
     const auto mode = modes.find(argc > 1 ? argv[1] : "");
     if (mode == modes.end()) {
         std::cerr << "unknown mode\n";
