Send a single request with a blocked suspect as a trial, so that a false block ends

Cause: a suspect of three crashes is blocked until an answer to a request that contains it comes after the crashes. Where all requests contain it none is admitted, so that no such answer can come: the belief kept away the only evidence that could refute it. The evidence is published and restored, so restarts change nothing.

Fix: from 1.5 s after the latest crash on (10 s for a whole request) one instance may send one request with a blocked suspect. The instances take turns, 2 s apart, in an order by hash over zones and members, and publish that a trial is sent; one that crashes its upstream is not repeated elsewhere, and the next is four times as far away. After two failed trials of a part, or one of a whole request, the block stays until its end, as at most three such requests may reach upstreams late. An instance that doesn't know the others sends none.

With trials it passes for one, 7 and 70 instances, crashes 0, 50 and 150 ms apart, with and without a restart of the instances.

--- a/include/parsleyvane/forward/fleetsync.h
+++ b/include/parsleyvane/forward/fleetsync.h
@@ -32,7 +32,7 @@
 {
     std::string address; ///< IP:PORT for other instances
     double processorShare = 0;
-    std::size_t zones = 1; ///< of the deployment
+    std::vector<ZoneId> zones; ///< of the deployment
     bool isFirstStart = false; ///< of the whole fleet
 };
 
--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -73,6 +73,7 @@
 
     std::optional<Failure> admit();
     std::optional<Resolution> resolveNow(LastReason &reason) const;
+    bool beginTrial();
     void adopt(Resolution found);
     std::optional<Failure> followNewestConfiguration();
     boost::asio::awaitable<void> tryUpstreams();
@@ -98,6 +99,7 @@
     bool escalateToLargerModel(const AnswerHead &facts);
     void recordResult(const UpstreamEntry &target, AttemptResult result);
     void recordCrash(const UpstreamEntry &target);
+    void recordTrial(const UpstreamEntry &target);
     /// Records what an answer tells beside the answer: that the upstream leaves, or wants no requests for some time.
     void recordAnnouncements(const UpstreamEntry &target, const AnswerHead &answer);
     void recordRequestRate(const UpstreamEntry &target, std::optional<RequestRate> rate);
@@ -154,6 +156,7 @@
     std::string stopReason; ///< why no further attempt was made; empty while there may be one
     CrashSuspects suspects; ///< what its client's repeats of it, and other requests, have in common with it
     HttpCall *call = nullptr; ///< the connection in use
+    bool isTrial = false; ///< sent in spite of a blocked suspect, to find out whether the block still holds
     bool upstreamFailed = false; ///< this attempt's complete answer was a server error
     bool isEventLatencyRecorded = false; ///< the inter-event latency of this attempt was recorded
     std::optional<Target> nextTarget; ///< takes over from a silent upstream; the retry budget was charged for it
--- a/include/parsleyvane/ingress/crashledger.h
+++ b/include/parsleyvane/ingress/crashledger.h
@@ -49,11 +49,22 @@
     friend bool operator==(const SuspectCleared &, const SuspectCleared &) = default;
 };
 
+/// @brief A request with a blocked suspect was sent all the same, to find out whether the block still holds.
+struct SuspectTrial
+{
+    Fingerprint print;
+    TimePoint at{}; ///< when the latest trial was sent
+    unsigned failed = 0; ///< trials that ended in a crash
+
+    friend bool operator==(const SuspectTrial &, const SuspectTrial &) = default;
+};
+
 /// @brief What one instance knows about crashes and publishes to the others. Times are on the store's clock there.
 struct CrashEvidence
 {
     std::vector<CrashReport> crashes;
     std::vector<SuspectCleared> cleared;
+    std::vector<SuspectTrial> trials;
 
     friend bool operator==(const CrashEvidence &, const CrashEvidence &) = default;
 };
@@ -70,6 +81,15 @@
     Milliseconds age{0}; ///< of the newest of them
 };
 
+/// @brief The instances that take turns in trials.
+struct TrialPeers
+{
+    InstanceId self;
+    ZoneId zone;
+    std::vector<ZoneId> zones; ///< of the deployment
+    std::vector<InstanceId> zoneMembers; ///< in this instance's zone; empty until they are known
+};
+
 /// @brief Tunable values of CrashLedger.
 struct CrashLimits
 {
@@ -82,6 +102,14 @@
     std::size_t maxSuspects = 64; ///< of one crash
     std::size_t maxAnswers = 8192; ///< suspects whose latest answer is known
     std::size_t maxReported = 24; ///< crashes in report(), which keeps the row small
+    Milliseconds partTrialDelay{1500}; ///< from the latest crash to the first trial of a shared part
+    /// As partTrialDelay, for a whole request: others are not refused with it, and few of its repeats may be sent.
+    Milliseconds requestTrialDelay{10000};
+    unsigned trialBackoff = 4; ///< factor of the delay for the second trial
+    unsigned maxPartTrials = 2; ///< that crashed an upstream; then the block of a shared part stays until its end
+    unsigned maxRequestTrials = 1; ///< the same for a whole request
+    Milliseconds trialPatience{4000}; ///< an undecided trial is repeated after this
+    Milliseconds trialSpacing{2000}; ///< between the turns of two instances; evidence spreads within a second
 };
 
 /**
@@ -92,6 +120,9 @@
  * suspect with the most crashes is blocked and explains them, so that what merely accompanied it isn't blocked too; of
  * several with as many crashes, the last in the request is blocked, as it is shared by the fewest requests. Reports of
  * other instances may be late, repeated or out of order. Complexity: logarithmic in the suspects unless said otherwise.
+ *
+ * A block keeps away the answers that could refute it, so a single request is sent as a trial from time to time. The
+ * instances take turns in an order by the hash of their names, and publish when they have sent one.
  */
 class CrashLedger
 {
@@ -100,6 +131,15 @@
     explicit CrashLedger(CrashLimits limits = {});
 
     // modifiers
+    /// @brief Sets the instances that take turns in trials. Without members this one sends none.
+    void setTrialPeers(TrialPeers newPeers);
+    /// @brief Reserves the trial of all blocked suspects of a request for it. @return whether it is due, and this
+    /// instance's turn. Complexity: linear in the crashes of the blocks.
+    bool beginTrial(const CrashSuspects &suspects, TimePoint now);
+    /// @brief Records that the request of a trial is sent; the others need to know.
+    void onTrialSent(const CrashSuspects &suspects, TimePoint now);
+    /// @brief Ends the reservation of beginTrial(), whether or not the request was sent.
+    void endTrial(const CrashSuspects &suspects);
     /// @brief Records that the connection broke before any event. Complexity: linear in the crashes.
     /// @param site as in CrashReport
     void onLost(const CrashSuspects &suspects, const std::string &site, TimePoint now);
@@ -148,6 +188,13 @@
         TimePoint published{}; ///< by any instance, for all to know
         bool isOwn = false; ///< this instance has published it
     };
+    struct Trials
+    {
+        TimePoint at{}; ///< when the latest was sent, by any instance
+        unsigned failed = 0; ///< how many ended in a crash
+        bool isOwn = false; ///< this instance publishes them
+        bool isReserved = false; ///< a request of this instance is the trial
+    };
 
     Crash &crashAt(const std::string &site, TimePoint at);
     void add(const CrashEvidence &evidence, TimePoint now, bool own);
@@ -158,12 +205,17 @@
     bool isRefuted(const Crash &crash) const;
     bool accuses(const Crash &crash, const Fingerprint &print, bool publishedOnly) const;
     std::size_t crashesOf(const Fingerprint &print, bool publishedOnly) const;
+    /// This instance's place in the order of all instances.
+    std::size_t trialTurn(const Fingerprint &print, unsigned round) const;
+    TimePoint trialDue(const Fingerprint &print, const std::set<std::string> &sites) const;
     void update(TimePoint now);
 
     CrashLimits limits;
     std::map<std::string, Crash> crashes; ///< by site
     std::map<Fingerprint, Answers> answers;
     std::map<Fingerprint, std::set<std::string>> blocked; ///< with the sites that it explains
+    std::map<Fingerprint, Trials> trials;
+    TrialPeers peers;
     std::vector<BlockChange> changes;
     std::uint64_t comparisonCount = 0;
 };
--- a/src/core/ingress/crashledger.cpp
+++ b/src/core/ingress/crashledger.cpp
@@ -8,6 +8,17 @@
 
 namespace parsleyvane {
 
+namespace {
+
+const std::string partPrefix = "part-";
+
+bool isSharedPart(const Fingerprint &print)
+{
+    return print.str().starts_with(partPrefix);
+}
+
+} // namespace
+
 CrashSuspects crashSuspects(const std::vector<std::string_view> &sharedParts, std::string_view caller,
                             std::string_view body)
 {
@@ -17,7 +28,7 @@
         if (suspects.size() == maxParts) {
             break;
         }
-        suspects.emplace_back("part-" + std::to_string(rendezvousWeight("part", part)));
+        suspects.emplace_back(partPrefix + std::to_string(rendezvousWeight("part", part)));
     }
     suspects.emplace_back(std::to_string(rendezvousWeight(caller, body)));
     return suspects;
@@ -31,6 +42,9 @@
     for (SuspectCleared &cleared : evidence.cleared) {
         cleared.at += offset;
     }
+    for (SuspectTrial &trial : evidence.trials) {
+        trial.at += offset;
+    }
     return evidence;
 }
 
@@ -39,6 +53,87 @@
 {
 }
 
+void CrashLedger::setTrialPeers(TrialPeers newPeers)
+{
+    this->peers = std::move(newPeers);
+}
+
+bool CrashLedger::beginTrial(const CrashSuspects &suspects, TimePoint now)
+{
+    if (this->peers.zoneMembers.empty()) {
+        return false;
+    }
+    for (const Fingerprint &print : suspects) {
+        const auto block = this->blocked.find(print);
+        if (block == this->blocked.end()) {
+            continue;
+        }
+        const auto known = this->trials.find(print);
+        const bool isReserved = known != this->trials.end() && known->second.isReserved;
+        if (isReserved || now < this->trialDue(print, block->second)) {
+            return false;
+        }
+    }
+    for (const Fingerprint &print : suspects) {
+        if (this->blocked.contains(print)) {
+            this->trials[print].isReserved = true;
+        }
+    }
+    return true;
+}
+
+void CrashLedger::onTrialSent(const CrashSuspects &suspects, TimePoint now)
+{
+    for (const Fingerprint &print : suspects) {
+        const auto known = this->trials.find(print);
+        if (known == this->trials.end() || !known->second.isReserved) {
+            continue;
+        }
+        known->second.at = now;
+        known->second.isOwn = true;
+    }
+}
+
+void CrashLedger::endTrial(const CrashSuspects &suspects)
+{
+    for (const Fingerprint &print : suspects) {
+        const auto known = this->trials.find(print);
+        if (known != this->trials.end()) {
+            known->second.isReserved = false;
+        }
+    }
+}
+
+std::size_t CrashLedger::trialTurn(const Fingerprint &print, unsigned round) const
+{
+    const auto placeOf = [&](const std::string &self, const auto &all) {
+        const std::uint64_t own = rendezvousWeight(print.str(), self, round);
+        return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const auto &other) {
+            return other.str() != self && rendezvousWeight(print.str(), other.str(), round) > own;
+        }));
+    };
+    const std::size_t zoneCount = std::max<std::size_t>(1, this->peers.zones.size());
+    return placeOf(this->peers.self.str(), this->peers.zoneMembers) * zoneCount
+        + placeOf(this->peers.zone.str(), this->peers.zones);
+}
+
+TimePoint CrashLedger::trialDue(const Fingerprint &print, const std::set<std::string> &sites) const
+{
+    const auto found = this->trials.find(print);
+    const Trials known = found != this->trials.end() ? found->second : Trials();
+    const unsigned maxTrials = isSharedPart(print) ? this->limits.maxPartTrials : this->limits.maxRequestTrials;
+    if (known.failed >= maxTrials) {
+        return TimePoint::max();
+    }
+    Milliseconds delay = isSharedPart(print) ? this->limits.partTrialDelay : this->limits.requestTrialDelay;
+    for (unsigned failed = 0; failed < known.failed; ++failed) {
+        delay *= this->limits.trialBackoff;
+    }
+    const auto turn = static_cast<std::int64_t>(this->trialTurn(print, known.failed));
+    return std::max(this->newestOf(sites) + delay, known.at + this->limits.trialPatience)
+        + turn * this->limits.trialSpacing;
+}
+
 CrashLedger::Crash &CrashLedger::crashAt(const std::string &site, TimePoint at)
 {
     if (!this->crashes.contains(site)) {
@@ -75,6 +170,11 @@
     Crash &crash = this->crashAt(site, now);
     unsigned depth = 0;
     for (const Fingerprint &print : suspects) {
+        const auto trial = this->trials.find(print);
+        if (trial != this->trials.end() && trial->second.isReserved) {
+            ++trial->second.failed;
+            trial->second.isReserved = false;
+        }
         if (crash.ownSuspects.size() >= this->limits.maxSuspects) {
             break;
         }
@@ -152,6 +252,15 @@
             known.isOwn = own;
         }
     }
+    for (const SuspectTrial &trial : evidence.trials) {
+        if (now - trial.at > this->limits.blockRetention) {
+            continue;
+        }
+        Trials &known = this->trials[trial.print];
+        known.at = std::max(known.at, trial.at);
+        known.failed = std::max(known.failed, trial.failed);
+        known.isOwn = known.isOwn || own;
+    }
     if (isNews) {
         this->update(now);
     }
@@ -199,6 +308,11 @@
         return now - known.known > this->limits.answerRetention && now - known.published > this->limits.retention
             && this->crashesOf(entry.first, true) == 0;
     });
+    std::erase_if(this->trials, [&](const auto &entry) {
+        const Trials &known = entry.second;
+        return !known.isReserved && !this->blocked.contains(entry.first)
+            && now - known.at > this->limits.answerRetention;
+    });
     if (erased > 0) {
         this->update(now);
     }
@@ -243,6 +357,11 @@
             evidence.cleared.push_back({print, known.published});
         }
     }
+    for (const auto &[print, known] : this->trials) {
+        if (known.isOwn) {
+            evidence.trials.push_back({print, known.at, known.failed});
+        }
+    }
     return evidence;
 }
 
--- a/src/core/ingress/fleetreport.cpp
+++ b/src/core/ingress/fleetreport.cpp
@@ -142,6 +142,14 @@
     for (const Json &cleared : json.at("cleared")) {
         report.crashes.cleared.push_back({Fingerprint(cleared.at(0).get<std::string>()), readTime(cleared.at(1))});
     }
+    // Reports of earlier versions have no trials.
+    if (json.contains("trials")) {
+        for (const Json &trial : json.at("trials")) {
+            report.crashes.trials.push_back({.print = Fingerprint(trial.at(0).get<std::string>()),
+                                             .at = readTime(trial.at(1)),
+                                             .failed = trial.at(2).get<unsigned>()});
+        }
+    }
     report.versions = readVersions(json.at("versions"));
     // Reports of earlier versions have no limits.
     if (json.contains("limits")) {
@@ -161,6 +169,9 @@
     for (const SuspectCleared &cleared : report.crashes.cleared) {
         json["cleared"].push_back(Json::array({cleared.print.str(), cleared.at.time_since_epoch().count()}));
     }
+    for (const SuspectTrial &trial : report.crashes.trials) {
+        json["trials"].push_back(Json::array({trial.print.str(), trial.at.time_since_epoch().count(), trial.failed}));
+    }
     for (const VersionReport &version : report.versions) {
         json["versions"].push_back(versionJson(version));
     }
--- a/src/net/forward/fleetrelay.cpp
+++ b/src/net/forward/fleetrelay.cpp
@@ -240,7 +240,7 @@
 void FleetSync::updateInstanceShare(std::size_t zoneMembers)
 {
     // Each zone has an equal part, so that the members of the others need not be known.
-    const std::size_t instances = zoneMembers * std::max<std::size_t>(1, this->relaySettings.zones);
+    const std::size_t instances = zoneMembers * std::max<std::size_t>(1, this->relaySettings.zones.size());
     this->context.budget.setInstances(instances);
     this->context.metrics.setGauge("zone_members", static_cast<double>(zoneMembers));
 }
@@ -299,6 +299,11 @@
             members.push_back(std::move(*member));
         }
     }
+    TrialPeers peers{.self = this->self, .zone = this->context.zone, .zones = this->relaySettings.zones};
+    for (const PeerMember &member : members) {
+        peers.zoneMembers.push_back(member.id);
+    }
+    this->context.fleetView.crashes.setTrialPeers(std::move(peers));
     this->relay->setMembers(std::move(members));
     this->updateInstanceShare(this->relay->members());
     this->context.log.line("members",
--- a/src/net/forward/fleetreports.cpp
+++ b/src/net/forward/fleetreports.cpp
@@ -41,6 +41,7 @@
         }
         crashes.crashes.insert(crashes.crashes.end(), reported.crashes.begin(), reported.crashes.end());
         crashes.cleared.insert(crashes.cleared.end(), reported.cleared.begin(), reported.cleared.end());
+        crashes.trials.insert(crashes.trials.end(), reported.trials.begin(), reported.trials.end());
         this->mergeVersions(from, report->versions);
     }
     this->context.fleetView.crashes.merge(crashes, now);
@@ -196,7 +197,7 @@
         this->isGathering = true;
         asio::co_spawn(this->context.io, this->publishGathered(), asio::detached);
     }
-    if (!report->crashes.crashes.empty() || !report->crashes.cleared.empty()) {
+    if (report->crashes != CrashEvidence()) {
         this->context.evidenceChanged();
     }
 }
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -188,6 +188,7 @@
     // The request may run as soon as its first byte is sent; only a refusal by the upstream restores the state before.
     const RunState before = this->combinedRunState;
     this->combinedRunState = combine(this->combinedRunState, RunState::Unknown);
+    this->recordTrial(target);
     connection.setTotalLimit(this->answerTimeout());
     if (!co_await connection.send(request, reason)) {
         co_return this->failureResult(reason);
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -69,6 +69,23 @@
     }
 }
 
+void ForwardedRequest::recordTrial(const UpstreamEntry &target)
+{
+    if (!this->isTrial) {
+        return;
+    }
+    this->context.fleetView.crashes.onTrialSent(this->suspects, bootClockNow());
+    this->context.metrics.countEvent("suspect_trial");
+    this->context.log.line("suspect_trial",
+                           {{"id", this->facts.id.str()},
+                            {"upstream", processName(target)},
+                            {"prompt", this->promptText()},
+                            {"ms", (bootClockNow() - this->arrivedAt).count()}});
+    if (this->context.evidenceChanged) {
+        this->context.evidenceChanged();
+    }
+}
+
 void ForwardedRequest::recordSurvival(const UpstreamEntry &target)
 {
     const bool isNews = this->context.fleetView.crashes.onAnswered(this->suspects, processName(target), bootClockNow());
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -53,6 +53,9 @@
 ForwardedRequest::~ForwardedRequest()
 {
     --this->context.inFlight;
+    if (this->isTrial) {
+        this->context.fleetView.crashes.endTrial(this->suspects);
+    }
 }
 
 asio::awaitable<void> ForwardedRequest::run()
@@ -96,6 +99,9 @@
     this->suspects = crashSuspects(sharedParts, this->facts.apiKey + "\n" + this->facts.path, request.body());
     this->lastEvent = this->facts.lastEvent;
     auto found = this->resolveNow(reason);
+    if (!found && reason.failure().id == ErrorId::Quarantined && this->beginTrial()) {
+        found = this->resolveNow(reason);
+    }
     if (!found) {
         return reason.failure();
     }
@@ -131,13 +137,20 @@
                             .detail = "the instance is stopping",
                             .retryAfter = drainingRetryAfter});
     }
-    if (const auto blocked = fleetView.crashes.blockedOf(this->suspects)) {
+    const auto blocked = fleetView.crashes.blockedOf(this->suspects);
+    if (blocked && !this->isTrial) {
         return reason.fail(
             {.id = ErrorId::Quarantined, .step = Step::Admit, .peer = blocked->str(), .detail = quarantineDetail});
     }
     return found;
 }
 
+bool ForwardedRequest::beginTrial()
+{
+    this->isTrial = this->context.fleetView.crashes.beginTrial(this->suspects, bootClockNow());
+    return this->isTrial;
+}
+
 void ForwardedRequest::adopt(Resolution found)
 {
     this->resolution = std::move(found);
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -95,7 +95,7 @@
     this->awaitReload();
     const RelaySettings relay{.address = this->settings.listen.peers,
                               .processorShare = this->settings.processorShare,
-                              .zones = this->settings.zones.size(),
+                              .zones = this->settings.zones,
                               .isFirstStart = this->settings.isFirstStart};
     if (!relay.address.empty() && !this->sync.startRelay(relay, reason)) {
         return false;
--- a/tests/fakeplatform.h
+++ b/tests/fakeplatform.h
@@ -419,7 +419,7 @@
                     .membersDelay = Milliseconds(600)})
         {
             LastReason reason;
-            const RelaySettings relay{.address = address, .zones = 1, .isFirstStart = true};
+            const RelaySettings relay{.address = address, .zones = {ZoneId("a")}, .isFirstStart = true};
             this->isListening = address.empty() || this->sync.startRelay(relay, reason);
             this->sync.start([]() {});
         }
--- a/tests/unit-crashledger.cpp
+++ b/tests/unit-crashledger.cpp
@@ -2,6 +2,7 @@
 
 #include "parsleyvane/ingress/crashledger.h"
 
+#include <optional>
 #include <random>
 
 namespace parsleyvane {
@@ -21,6 +22,18 @@
     return crashSuspects(parts, "caller", body);
 }
 
+/// What happens to the upstreams of a CrashWorld.
+struct CrashPlan
+{
+    Milliseconds length{40000};
+    std::optional<Milliseconds> deadlyFrom = Milliseconds{4000}; ///< from then on one request in 20 is a crashing one
+    bool isWholeRequestDeadly = false; ///< the same request each time, in place of different ones with a deadly part
+    std::optional<Milliseconds> allCrashAt; ///< every upstream crashes, the first one then
+    Milliseconds crashGap{0}; ///< from one of these crashes to the next
+    bool instancesRestart = false; ///< all of them, after these crashes
+    Milliseconds recoverTime{12000}; ///< after which sound requests must be sent again
+};
+
 /// A fleet on a virtual clock: instances that exchange reports late or not at all, upstreams that crash.
 class CrashWorld
 {
@@ -31,15 +44,17 @@
         , publishAt(instances)
         , processes(upstreams)
     {
+        this->nameInstances();
     }
 
-    /// Plays 40 s: from 4 s on, one request in 20 contains a crashing part.
-    void run()
+    void run(const CrashPlan &plan)
     {
-        for (std::int64_t ms = 0; ms < length; ms += step) {
+        this->isWholeRequestDeadly = plan.isWholeRequestDeadly;
+        this->recoverTime = plan.recoverTime;
+        for (std::int64_t ms = 0; ms < plan.length.count(); ms += step) {
             this->now = start + Milliseconds(ms);
             this->endRuns();
-            this->crashAtRandom();
+            this->crashAsPlanned(plan, Milliseconds(ms));
             this->exchange();
             if (ms % tickInterval == 0) {
                 for (CrashLedger &ledger : this->ledgers) {
@@ -47,12 +62,13 @@
                 }
             }
             if (this->chance(arrivals)) {
-                const bool isDeadly = ms > deadlyFrom && this->chance(deadlyShare);
+                const bool isDeadly = plan.deadlyFrom && ms > plan.deadlyFrom->count() && this->chance(deadlyShare);
                 this->send(this->newRequest(isDeadly), 0);
             }
         }
     }
 
+    std::size_t refusedAfterRecovery = 0; ///< later than recoverTime after all upstreams were back
     std::size_t deadlySentTooLate = 0; ///< later than stableWindow after the fifth crash by the part
     std::size_t soundRefused = 0; ///< from 2 x stableWindow after the fifth crash
     std::size_t sound = 0; ///< in the same time
@@ -60,9 +76,7 @@
 
 private:
     static constexpr std::int64_t step = 10;
-    static constexpr std::int64_t length = 40000;
     static constexpr std::int64_t tickInterval = 200;
-    static constexpr std::int64_t deadlyFrom = 4000;
     static constexpr double arrivals = 0.5;
     static constexpr double deadlyShare = 0.05;
     static constexpr unsigned maxAttempts = 3;
@@ -73,6 +87,7 @@
     {
         CrashSuspects suspects;
         bool isDeadly = false;
+        bool isTrial = false;
         unsigned attempt = 0;
         std::size_t instance = 0;
         TimePoint firstEventAt{};
@@ -97,6 +112,9 @@
 
     Request newRequest(bool isDeadly)
     {
+        if (isDeadly && this->isWholeRequestDeadly) {
+            return {.suspects = request({"first", "m0"}, "deadly"), .isDeadly = true};
+        }
         static const std::vector<std::string> middles = {"m0", "m1", "m2", "m3", "m4", "m5", "m6", "m7"};
         std::vector<std::string_view> parts = {"first", middles.at(this->below(middles.size()))};
         if (isDeadly) {
@@ -114,14 +132,26 @@
             sent.instance = this->below(this->ledgers.size());
             this->sound += !sent.isDeadly && isSettled ? 1 : 0;
         }
-        if (this->ledgers.at(sent.instance).blockedOf(sent.suspects)) {
-            this->soundRefused += !sent.isDeadly && isSettled && attempt == 0 ? 1 : 0;
-            return;
+        CrashLedger &ledger = this->ledgers.at(sent.instance);
+        if (ledger.blockedOf(sent.suspects)) {
+            sent.isTrial = attempt == 0 && ledger.beginTrial(sent.suspects, this->now);
+            if (!sent.isTrial) {
+                this->soundRefused += !sent.isDeadly && isSettled && attempt == 0 ? 1 : 0;
+                const bool isRecovered
+                    = this->allBackAt != TimePoint() && this->now > this->allBackAt + this->recoverTime;
+                this->refusedAfterRecovery += !sent.isDeadly && isRecovered ? 1 : 0;
+                return;
+            }
         }
         Process &process = this->processes.at(this->below(this->processes.size()));
         if (this->now < process.downUntil) {
+            ledger.endTrial(sent.suspects);
             return;
         }
+        if (sent.isTrial) {
+            ledger.onTrialSent(sent.suspects, this->now);
+            this->requestPublish(sent.instance);
+        }
         this->deadlySentTooLate += sent.isDeadly && isLate ? 1 : 0;
         sent.attempt = attempt;
         sent.firstEventAt = this->now + Milliseconds(50 + static_cast<std::int64_t>(this->below(2000)));
@@ -149,11 +179,14 @@
                 if (this->ledgers.at(run.instance).onAnswered(run.suspects, this->site(index), this->now)) {
                     this->requestPublish(run.instance);
                 }
+                this->endTrial(run);
                 return true;
             });
             if (crashes) {
                 ++this->deadlyCrashes;
-                this->fifthCrashAt = this->deadlyCrashes == 5 ? this->now : this->fifthCrashAt;
+                // A request that is deadly as a whole is known by its third crash, a part by the fifth.
+                const std::size_t known = this->isWholeRequestDeadly ? 3 : 5;
+                this->fifthCrashAt = this->deadlyCrashes == known ? this->now : this->fifthCrashAt;
                 this->crash(index);
             }
         }
@@ -165,6 +198,7 @@
         const std::vector<Request> lost = std::exchange(process.runs, {});
         for (const Request &run : lost) {
             this->ledgers.at(run.instance).onLost(run.suspects, this->site(index), this->now);
+            this->endTrial(run);
             this->requestPublish(run.instance);
         }
         process.downUntil = this->now + downTime;
@@ -176,6 +210,76 @@
         }
     }
 
+    void endTrial(const Request &run)
+    {
+        if (run.isTrial) {
+            this->ledgers.at(run.instance).endTrial(run.suspects);
+        }
+    }
+
+    void nameInstances()
+    {
+        for (std::size_t index = 0; index < this->ledgers.size(); ++index) {
+            this->ledgers.at(index).setTrialPeers(this->peersOf(index));
+        }
+    }
+
+    TrialPeers peersOf(std::size_t index) const
+    {
+        const std::size_t zoneCount = std::min<std::size_t>(3, this->ledgers.size());
+        const auto name = [](std::size_t number) {
+            return "edge-" + std::to_string(number);
+        };
+        TrialPeers peers{.self = InstanceId(name(index)), .zone = ZoneId(std::to_string(index % zoneCount))};
+        for (std::size_t zone = 0; zone < zoneCount; ++zone) {
+            peers.zones.emplace_back(std::to_string(zone));
+        }
+        for (std::size_t other = index % zoneCount; other < this->ledgers.size(); other += zoneCount) {
+            peers.zoneMembers.emplace_back(name(other));
+        }
+        return peers;
+    }
+
+    void crashAsPlanned(const CrashPlan &plan, Milliseconds elapsed)
+    {
+        if (!plan.allCrashAt) {
+            this->crashAtRandom();
+            return;
+        }
+        for (std::size_t index = 0; index < this->processes.size(); ++index) {
+            if (elapsed == *plan.allCrashAt + static_cast<int>(index) * plan.crashGap) {
+                this->crash(index);
+                this->allBackAt = this->processes.at(index).downUntil;
+            }
+        }
+        // The others are still down when the last one crashes.
+        const Milliseconds crashed = *plan.allCrashAt + static_cast<int>(this->processes.size() - 1) * plan.crashGap;
+        if (elapsed == crashed) {
+            for (Process &process : this->processes) {
+                process.downUntil = this->allBackAt;
+            }
+        }
+        constexpr Milliseconds restartDelay{2000};
+        if (plan.instancesRestart && elapsed == crashed + restartDelay) {
+            this->restartInstances();
+        }
+    }
+
+    void restartInstances()
+    {
+        for (CrashLedger &ledger : this->ledgers) {
+            const CrashEvidence published = ledger.report();
+            ledger = CrashLedger();
+            ledger.restore(published, this->now);
+        }
+        for (const CrashLedger &from : this->ledgers) {
+            for (CrashLedger &to : this->ledgers) {
+                to.merge(from.report(), this->now);
+            }
+        }
+        this->nameInstances();
+    }
+
     void crashAtRandom()
     {
         constexpr double ordinaryCrashes = 0.002;
@@ -219,6 +323,9 @@
     std::vector<Process> processes;
     TimePoint now = start;
     TimePoint fifthCrashAt{};
+    TimePoint allBackAt{}; ///< after the planned crashes
+    bool isWholeRequestDeadly = false;
+    Milliseconds recoverTime{0};
     std::uint64_t requests = 0;
 };
 
@@ -241,6 +348,11 @@
     CPPUNIT_TEST(inventedPartsDoNotGrowTheLedger);
     CPPUNIT_TEST(twoCrashingPartsAreBothBlocked);
     CPPUNIT_TEST(aCrashingPartStopsReachingUpstreamsAndSoundRequestsAreServed);
+    CPPUNIT_TEST(aCrashingRequestStopsReachingUpstreams);
+    CPPUNIT_TEST(thePartThatAllRequestsShareIsServedAgainAfterAllUpstreamsCrashed);
+    CPPUNIT_TEST(aTrialIsSentOnceAndEndsAFalseBlock);
+    CPPUNIT_TEST(trialsOfACrashingPartBecomeRare);
+    CPPUNIT_TEST(anInstanceThatDoesNotKnowTheOthersSendsNoTrial);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -406,7 +518,7 @@
         for (std::uint64_t seed = 4744; seed < 4744 + seeds; ++seed) {
             for (const std::size_t instances : {1, 7, 70}) {
                 CrashWorld world(seed, instances, 16);
-                world.run();
+                world.run({.length = crashingTime});
                 const std::string what = "seed " + std::to_string(seed) + ", " + std::to_string(instances)
                     + " instances: " + std::to_string(world.deadlyCrashes) + " crashes, "
                     + std::to_string(world.deadlySentTooLate) + " sent too late, " + std::to_string(world.soundRefused)
@@ -417,7 +529,109 @@
         }
     }
 
+    void aCrashingRequestStopsReachingUpstreams()
+    {
+        constexpr std::uint64_t seeds = 4;
+        constexpr std::size_t maxLate = 3;
+        for (std::uint64_t seed = 4744; seed < 4744 + seeds; ++seed) {
+            for (const std::size_t instances : {1, 7, 70}) {
+                CrashWorld world(seed, instances, 16);
+                world.run({.length = crashingTime, .isWholeRequestDeadly = true});
+                const std::string what = "seed " + std::to_string(seed) + ", " + std::to_string(instances)
+                    + " instances: " + std::to_string(world.deadlyCrashes) + " crashes, "
+                    + std::to_string(world.deadlySentTooLate) + " sent too late";
+                CPPUNIT_ASSERT_MESSAGE(what, world.deadlySentTooLate <= maxLate);
+            }
+        }
+    }
+
+    /// Guards against a block that only an admitted answer can lift while nothing is admitted.
+    void thePartThatAllRequestsShareIsServedAgainAfterAllUpstreamsCrashed()
+    {
+        constexpr std::uint64_t seeds = 2;
+        for (std::uint64_t seed = 4744; seed < 4744 + seeds; ++seed) {
+            for (const std::size_t instances : {1, 7, 70}) {
+                // The bounds of the small and of the grown deployments.
+                const Milliseconds recoverTime{instances < 70 ? 12000 : 15000};
+                for (const Milliseconds gap : {Milliseconds(0), Milliseconds(50), Milliseconds(150)}) {
+                    for (const bool instancesRestart : {false, true}) {
+                        CrashWorld world(seed, instances, 16);
+                        world.run({.deadlyFrom = std::nullopt,
+                                   .allCrashAt = Milliseconds(10000),
+                                   .crashGap = gap,
+                                   .instancesRestart = instancesRestart,
+                                   .recoverTime = recoverTime});
+                        const std::string what = "seed " + std::to_string(seed) + ", " + std::to_string(instances)
+                            + " instances, gap " + std::to_string(gap.count()) + ", restart "
+                            + std::to_string(instancesRestart);
+                        CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{0}, world.refusedAfterRecovery);
+                    }
+                }
+            }
+        }
+    }
+
+    void aTrialIsSentOnceAndEndsAFalseBlock()
+    {
+        CrashLedger ledger;
+        ledger.setTrialPeers(alone());
+        crash(ledger, {"part"});
+        const CrashSuspects first = request({"part"}, "1");
+        const CrashSuspects second = request({"part"}, "2");
+        const CrashLimits limits;
+        CPPUNIT_ASSERT(!ledger.beginTrial(first, start + limits.partTrialDelay - Milliseconds(1)));
+        const TimePoint due = start + limits.partTrialDelay;
+        CPPUNIT_ASSERT(ledger.beginTrial(first, due));
+        CPPUNIT_ASSERT(!ledger.beginTrial(second, due));
+        // It was not sent, so that the next request may be the trial.
+        ledger.endTrial(first);
+        CPPUNIT_ASSERT(ledger.beginTrial(second, due));
+        ledger.onTrialSent(second, due);
+        ledger.endTrial(second);
+        CPPUNIT_ASSERT(!ledger.beginTrial(first, due + limits.trialPatience - Milliseconds(1)));
+        CPPUNIT_ASSERT(ledger.blockedOf(first).has_value());
+        ledger.onAnswered(second, "d@1", due + Milliseconds(300));
+        CPPUNIT_ASSERT(!ledger.blockedOf(first));
+    }
+
+    void trialsOfACrashingPartBecomeRare()
+    {
+        CrashLedger ledger;
+        ledger.setTrialPeers(alone());
+        crash(ledger, {"deadly"});
+        const CrashLimits limits;
+        std::vector<TimePoint> sent;
+        for (TimePoint now = start; now < start + limits.blockRetention; now += Milliseconds(100)) {
+            const CrashSuspects suspects = request({"deadly"}, std::to_string(sent.size()));
+            if (!ledger.beginTrial(suspects, now)) {
+                continue;
+            }
+            ledger.onTrialSent(suspects, now);
+            sent.push_back(now);
+            ledger.onLost(suspects, "trial-" + std::to_string(sent.size()), now + Milliseconds(50));
+            ledger.endTrial(suspects);
+        }
+        // At most three requests may be sent later than shortly after the fifth crash, whatever else was in flight.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{limits.maxPartTrials}, sent.size());
+        CPPUNIT_ASSERT(sent.back() - sent.front() > limits.partTrialDelay * limits.trialBackoff);
+    }
+
+    void anInstanceThatDoesNotKnowTheOthersSendsNoTrial()
+    {
+        CrashLedger ledger;
+        crash(ledger, {"part"});
+        CPPUNIT_ASSERT(!ledger.beginTrial(request({"part"}, "1"), start + Milliseconds(60000)));
+    }
+
 private:
+    /// Longer than the days of the deployments.
+    static constexpr Milliseconds crashingTime{120000};
+
+    static TrialPeers alone()
+    {
+        return {.self = InstanceId("one"), .zoneMembers = {InstanceId("one")}};
+    }
+
     /// Lets three requests with these parts crash a process each.
     static void crash(CrashLedger &ledger, const std::vector<std::string_view> &parts)
     {
