Use upstreams whose entries lapsed only while most of their service's have

Cause: each failed read counts as an outage of the store, in which upstreams could not renew their entries. What is missing from the list afterwards, or removed within 2.2 s of this instance's own first read, was therefore kept and used as "lapsed". An instance's own failure was taken for the world's.

Fix: an outage that is long enough for entries to lapse (three renewals) concerns all upstreams alike, a departure a few. Lapsed entries are used only while they are more than half of their service's; they stay known for the grace period, so that an upstream which registers again is used at once.

A try before it, not committed: the instance counted the renewals in the list of changes that it had missed, which tell an outage from a cut path.

--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -79,7 +79,9 @@
  * A process that was draining stays so, whatever its entry says later: the entry may come from an older copy.
  *
  * An entry without the draining mark that is removed during a store outage, or soon after one, is kept for a grace
- * period after the outage: the upstream may only have been unable to renew it.
+ * period after the outage: the upstream may only have been unable to renew it. What looks like an outage may have been
+ * the loss of this instance's own path to the store, while upstreams left. An outage that is long enough for entries to
+ * lapse concerns all upstreams, so lapsed ones are usable only while they are the larger part of their service.
  */
 class UpstreamList
 {
@@ -121,7 +123,8 @@
     /// now, or there is none. Complexity: linear.
     std::optional<TimePoint> earliestWanted(const ServiceName &service, TimePoint now) const;
     const RegisteredUpstream *find(const UpstreamId &id) const;
-    /// @brief Calls the visitor with each upstream of the service that is not draining. Complexity: linear.
+    /// @brief Calls the visitor with each upstream of the service that is not draining, nor one of a few whose entries
+    /// lapsed. Complexity: linear.
     void forEachUsable(const ServiceName &service, const std::function<void(const RegisteredUpstream &)> &visit) const;
     std::size_t size() const noexcept
     {
@@ -132,6 +135,8 @@
     /// A process: another one may register under the same id.
     using Process = std::tuple<UpstreamId, std::int64_t, std::string>;
 
+    /// Whether most of the service's entries lapsed, as in an outage, rather than those of a few that left.
+    bool hasMostlyLapsed(const ServiceName &service) const;
     static Process processOf(const UpstreamEntry &entry);
     void erase(const UpstreamId &id, TimePoint now);
     RegisteredUpstream *findProcess(const UpstreamEntry &target);
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -249,11 +249,29 @@
 void UpstreamList::forEachUsable(const ServiceName &service,
                                  const std::function<void(const RegisteredUpstream &)> &visit) const
 {
+    const bool usesLapsed = this->hasMostlyLapsed(service);
     for (const auto &[id, upstream] : this->upstreams) {
-        if (upstream.entry.service == service && !upstream.entry.draining && !upstream.reportedDraining) {
-            visit(upstream);
+        if (upstream.entry.service != service || upstream.entry.draining || upstream.reportedDraining) {
+            continue;
         }
+        if (upstream.missingSince && !usesLapsed) {
+            continue;
+        }
+        visit(upstream);
+    }
+}
+
+bool UpstreamList::hasMostlyLapsed(const ServiceName &service) const
+{
+    std::size_t listed = 0;
+    std::size_t lapsed = 0;
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream.entry.service != service || upstream.entry.draining) {
+            continue;
+        }
+        ++(upstream.missingSince ? lapsed : listed);
     }
+    return lapsed > listed;
 }
 
 } // namespace parsleyvane
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -30,6 +30,15 @@
             .startedAtMs = 1};
 }
 
+/// The ids of the upstreams that may get requests.
+std::string usableOf(const UpstreamList &list)
+{
+    std::string ids;
+    list.forEachUsable(ServiceName("s"),
+                       [&](const RegisteredUpstream &upstream) { ids.append(upstream.entry.id.str()).append(" "); });
+    return ids;
+}
+
 UpstreamRequirements question()
 {
     return {.service = ServiceName("s"), .zone = ZoneId("a")};
@@ -45,6 +54,8 @@
     CPPUNIT_TEST(aRouteWithoutServiceIsIgnored);
     CPPUNIT_TEST(anEntryThatLapsesAfterAStoreOutageIsKeptForTheGracePeriod);
     CPPUNIT_TEST(anEntryThatIsRemovedWithoutAStoreOutageIsRemovedAtOnce);
+    CPPUNIT_TEST(aFewEntriesThatLapseAfterAStoreOutageAreNotUsed);
+    CPPUNIT_TEST(mostEntriesThatLapseInAStoreOutageAreUsed);
     CPPUNIT_TEST(aDrainingEntryThatLapsesDuringAStoreOutageIsRemovedAtOnce);
     CPPUNIT_TEST(aRestartedUpstreamIsAvailableAtOnce);
     CPPUNIT_TEST(theOutcomeOfAnAttemptAtAReplacedProcessIsIgnored);
@@ -117,6 +128,40 @@
         CPPUNIT_ASSERT(list.find(UpstreamId("u")) == nullptr);
     }
 
+    /// Guards against taking the loss of this instance's own path for an outage of the store: requests would reach an
+    /// upstream that has left.
+    void aFewEntriesThatLapseAfterAStoreOutageAreNotUsed()
+    {
+        UpstreamList list;
+        for (const char *id : {"u", "v", "w"}) {
+            list.update(entry(id));
+        }
+        list.onStoreUnreachable();
+        list.remove(UpstreamId("u"), start);
+        list.onStoreReachable(start);
+        CPPUNIT_ASSERT_EQUAL(std::string("v w "), usableOf(list));
+        list.update(entry("u"));
+        CPPUNIT_ASSERT_EQUAL(std::string("u v w "), usableOf(list));
+        CPPUNIT_ASSERT_EQUAL(std::string("lapsed"), list.remove(UpstreamId("v"), start + Milliseconds(500)));
+        CPPUNIT_ASSERT_EQUAL(std::string("u w "), usableOf(list));
+    }
+
+    /// Without them there would be nobody to send requests to.
+    void mostEntriesThatLapseInAStoreOutageAreUsed()
+    {
+        UpstreamList list;
+        for (const char *id : {"u", "v", "w"}) {
+            list.update(entry(id));
+        }
+        list.onStoreUnreachable();
+        list.remove(UpstreamId("u"), start);
+        list.remove(UpstreamId("v"), start);
+        list.onStoreReachable(start);
+        CPPUNIT_ASSERT_EQUAL(std::string("u v w "), usableOf(list));
+        list.update(entry("v"));
+        CPPUNIT_ASSERT_EQUAL(std::string("v w "), usableOf(list));
+    }
+
     void aDrainingEntryThatLapsesDuringAStoreOutageIsRemovedAtOnce()
     {
         UpstreamList list;
@@ -394,6 +439,7 @@
         FleetReport report;
         report.crashes.crashes.push_back({"a@1", start, {{Fingerprint("p"), 0}, {Fingerprint("q"), 1}}});
         report.crashes.cleared.push_back({Fingerprint("q"), start});
+        report.crashes.trials.push_back({Fingerprint("q"), start, 1});
         report.versions.push_back({ServiceName("s"),
                                    VersionName("v2"),
                                    {{RouteName("r"), {{7, 2}, {9, 1}}}},
