Resume a begun stream at the version that began it while a roll-out runs

Cause: each attempt chose the version anew, and the share of the new version had grown since the first one.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -82,6 +82,8 @@
     void stop(std::string_view why);
     bool payForRetry();
     Milliseconds waitOrHandOver(const UpstreamEntry &silent);
+    /// Whether a stream that has begun is resumed at the version that began it, as the share of the other one grows.
+    bool keepsVersion(const VersionShift &shift) const;
     std::optional<Target> chooseTarget(UpstreamRequirements requirements) const;
     std::optional<Target> takeTarget();
     boost::asio::awaitable<AttemptResult> attempt();
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -263,11 +263,18 @@
     return std::min(left, silenceCheckInterval);
 }
 
+bool ForwardedRequest::keepsVersion(const VersionShift &shift) const
+{
+    return this->exchange.answered() && shift.state() == RolloutState::Running && !shift.isBad();
+}
+
 std::optional<ForwardedRequest::Target> ForwardedRequest::chooseTarget(UpstreamRequirements requirements) const
 {
     VersionShift &shift = shiftOf(this->context, this->service());
     const TimePoint now = bootClockNow();
-    bool usesCandidate = shift.routesToCandidate(this->facts.session, this->shareSample, now);
+    bool usesCandidate = this->keepsVersion(shift)
+        ? shift.isCandidate(this->version)
+        : shift.routesToCandidate(this->facts.session, this->shareSample, now);
     requirements.service = this->service();
     requirements.zone = this->context.zone;
     requirements.tried = this->sentTo;
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(anAnswerUnderAnEarlierOrderIsNoEvidenceAboutTheNextVersion);
     CPPUNIT_TEST(anOrderThatArrivesBeforeTheFirstByteIsFollowed);
     CPPUNIT_TEST(aRollBackThatArrivesBeforeTheFirstByteIsFollowed);
+    CPPUNIT_TEST(aStreamIsResumedAtTheVersionThatBeganIt);
     CPPUNIT_TEST(aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed);
     CPPUNIT_TEST(requestsThatShareACrashingPartAreRefusedAfterThreeCrashes);
     CPPUNIT_TEST(aPoorAnswerIsRelayedWhenNoUpstreamIsLeft);
@@ -409,6 +410,25 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, dispatches(rig));
     }
 
+    /// Guards against a sound stream that is lost at a new, bad version, to which it was resumed.
+    void aStreamIsResumedAtTheVersionThatBeganIt()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Always, true);
+        VersionShift &shift = rig.rollOut();
+        shift.setLimits({.maxExposedShare = 0});
+        const auto raiseShare = [&]() {
+            shift.setLimits({.maxExposedShare = 1});
+        };
+        const std::string begun = streamHead() + chunkedEvent(1);
+        const std::string resumed = streamHead() + chunkedEvent(2) + "0\r\n\r\n";
+        rig.upstream("u", {{.answer = begun, .onSent = raiseShare}});
+        rig.upstream("w", {{upstreamAnswer(500, "bad")}}, "v2");
+        rig.remoteUpstream("v", {{resumed}});
+        CPPUNIT_ASSERT(rig.exchange(clientRequest("/stream/x")).ends_with("0\r\n\r\n"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, rig.upstreams.at(1)->requests.size());
+    }
+
     void aRestartAsAnotherVersionBeforeTheFirstByteIsNoticed()
     {
         ForwardRig rig;
