Send trials of a block only where it keeps away most requests of a kind

Cause: the trials of a part that only a few requests contain came on top of those that were already under way. Such a block keeps away few requests; a false one of what all share keeps away all of them.

Fix: a trial needs three refusals in a row among the requests that begin with the same suspect at this instance.

The opposite error: a sound part that few requests contain gets no trial any more, as it can't be told from a deadly one.

--- a/include/parsleyvane/ingress/crashledger.h
+++ b/include/parsleyvane/ingress/crashledger.h
@@ -108,6 +108,9 @@
     unsigned trialBackoff = 4; ///< factor of the delay for the second trial
     unsigned maxPartTrials = 2; ///< that crashed an upstream; then the block of a shared part stays until its end
     unsigned maxRequestTrials = 1; ///< the same for a whole request
+    /// Trials begin when so many requests in a row that begin with the same suspect were refused: then the block keeps
+    /// away most of the requests of their kind, not a few among them.
+    unsigned refusedBeforeTrial = 3;
     Milliseconds trialPatience{4000}; ///< an undecided trial is repeated after this
     Milliseconds trialSpacing{2000}; ///< between the turns of two instances; evidence spreads within a second
 };
@@ -133,8 +136,11 @@
     // modifiers
     /// @brief Sets the instances that take turns in trials. Without members this one sends none.
     void setTrialPeers(TrialPeers newPeers);
-    /// @brief Reserves the trial of all blocked suspects of a request for it. @return whether it is due, and this
-    /// instance's turn. Complexity: linear in the crashes of the blocks.
+    /// @brief Records that a request is admitted without a blocked suspect.
+    void onAdmitted(const CrashSuspects &suspects);
+    /// @brief Reserves the trial of all blocked suspects of a request for it. Call it once for each request that is
+    /// refused otherwise. @return whether the trial is due, and this instance's turn. Complexity: linear in the crashes
+    /// of the blocks.
     bool beginTrial(const CrashSuspects &suspects, TimePoint now);
     /// @brief Records that the request of a trial is sent; the others need to know.
     void onTrialSent(const CrashSuspects &suspects, TimePoint now);
@@ -215,6 +221,7 @@
     std::map<Fingerprint, Answers> answers;
     std::map<Fingerprint, std::set<std::string>> blocked; ///< with the sites that it explains
     std::map<Fingerprint, Trials> trials;
+    std::map<Fingerprint, unsigned> refusedInRow; ///< by the first suspect of the requests
     TrialPeers peers;
     std::vector<BlockChange> changes;
     std::uint64_t comparisonCount = 0;
--- a/src/core/ingress/crashledger.cpp
+++ b/src/core/ingress/crashledger.cpp
@@ -58,9 +58,18 @@
     this->peers = std::move(newPeers);
 }
 
+void CrashLedger::onAdmitted(const CrashSuspects &suspects)
+{
+    this->refusedInRow.erase(suspects.front());
+}
+
 bool CrashLedger::beginTrial(const CrashSuspects &suspects, TimePoint now)
 {
-    if (this->peers.zoneMembers.empty()) {
+    if (this->refusedInRow.size() >= this->limits.maxAnswers) {
+        this->refusedInRow.clear();
+    }
+    const unsigned refused = ++this->refusedInRow[suspects.front()];
+    if (this->peers.zoneMembers.empty() || refused < this->limits.refusedBeforeTrial) {
         return false;
     }
     for (const Fingerprint &print : suspects) {
@@ -308,6 +317,9 @@
         return now - known.known > this->limits.answerRetention && now - known.published > this->limits.retention
             && this->crashesOf(entry.first, true) == 0;
     });
+    if (this->blocked.empty()) {
+        this->refusedInRow.clear();
+    }
     std::erase_if(this->trials, [&](const auto &entry) {
         const Trials &known = entry.second;
         return !known.isReserved && !this->blocked.contains(entry.first)
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -105,6 +105,9 @@
     if (!found) {
         return reason.failure();
     }
+    if (!this->isTrial) {
+        this->context.fleetView.crashes.onAdmitted(this->suspects);
+    }
     this->adopt(std::move(*found));
     const Milliseconds timeout = std::min(this->facts.timeout.value_or(this->route().timeout), this->route().timeout);
     this->deadline = this->arrivedAt + timeout - answerMargin;
