Keep upstreams usable whose entries a restored copy of the store lacks

There the store itself says that its list comes from a copy, so that a missing entry is no sign of a departure, however few there are. Entries that a copy lacks are marked and stay usable for the grace period, as before.

--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -59,6 +59,7 @@
     bool reportedDraining = false; ///< reported by the upstream itself, before its entry was updated
     TimePoint notBefore{}; ///< it wants no requests of this instance until then
     std::optional<TimePoint> missingSince; ///< when its entry lapsed, during a store outage or soon after one
+    bool isLackedByCopy = false; ///< its entry is missing since the store was restored from a copy
 };
 
 /// @brief Tunable values of UpstreamList.
--- a/src/core/ingress/upstreamlist.cpp
+++ b/src/core/ingress/upstreamlist.cpp
@@ -30,6 +30,7 @@
     const auto [found, isNew] = this->upstreams.try_emplace(entry.id);
     RegisteredUpstream &upstream = found->second;
     upstream.missingSince.reset();
+    upstream.isLackedByCopy = false;
     if (!isNew && upstream.entry == entry) {
         return {};
     }
@@ -102,7 +103,11 @@
             listed.push_back(entry);
         }
     }
-    return this->replace(listed, now);
+    std::vector<std::string> changes = this->replace(listed, now);
+    for (auto &[id, upstream] : this->upstreams) {
+        upstream.isLackedByCopy = upstream.missingSince.has_value();
+    }
+    return changes;
 }
 
 void UpstreamList::erase(const UpstreamId &id, TimePoint now)
@@ -254,7 +259,7 @@
         if (upstream.entry.service != service || upstream.entry.draining || upstream.reportedDraining) {
             continue;
         }
-        if (upstream.missingSince && !usesLapsed) {
+        if (upstream.missingSince && !upstream.isLackedByCopy && !usesLapsed) {
             continue;
         }
         visit(upstream);
