--- a/include/parsleyvane/config/settings.h
+++ b/include/parsleyvane/config/settings.h
@@ -95,6 +95,12 @@
     ByDemand, ///< as many as the rate of its requests needs
 };
 
+/// @brief Which model of a cascade gets a request first.
+enum class FirstModelRule {
+    Smallest, ///< always the smallest, if there is an attempt for a larger one
+    Learned, ///< the smallest that is worth its time, or the largest if a second attempt is not possible
+};
+
 /// @brief How instances treat load; only the ingress front uses it.
 struct LoadSettings
 {
@@ -103,6 +109,7 @@
     /// @brief Whether requests are rejected before their first attempt while a service is short of capacity.
     bool controlsAdmission = false;
     ReplicaRule replicas = ReplicaRule::ByLength;
+    FirstModelRule firstModel = FirstModelRule::Smallest;
 
     friend bool operator==(const LoadSettings &, const LoadSettings &) = default;
 };
--- a/include/parsleyvane/forward/forwardcontext.h
+++ b/include/parsleyvane/forward/forwardcontext.h
@@ -17,6 +17,7 @@
 #include "parsleyvane/ingress/prefixdemand.h"
 #include "parsleyvane/ingress/repeatbudget.h"
 #include "parsleyvane/ingress/routetable.h"
+#include "parsleyvane/ingress/modelchoice.h"
 #include "parsleyvane/ingress/sizechoice.h"
 #include "parsleyvane/ingress/speedsteps.h"
 #include "parsleyvane/ingress/upstreamchoice.h"
@@ -73,6 +74,8 @@
     ConnectionPool pool{PoolLimits()};
     AnswerMemory answerMemory{AnswerMemoryLimits()};
     SizeLimits sizes;
+    bool learnsFirstModel = false; ///< otherwise a cascade begins with the smallest model
+    ModelChoice modelChoice{ModelChoiceLimits()};
     bool replicasByDemand = false; ///< otherwise the number of a prefix's replicas depends on its length
     PrefixDemand prefixDemand{PrefixDemandLimits()};
     SpeedSteps speedSteps{SpeedStepLimits()}; ///< weights among a prefix's replicas
--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -88,6 +88,8 @@
     std::optional<Resolution> resolveNow(LastReason &reason) const;
     bool beginTrial();
     void adopt(Resolution found);
+    /// Index in the sizes of the route of the model that gets the request first.
+    std::size_t firstModel();
     std::optional<Failure> followNewestConfiguration();
     /// Applies admission control before the first attempt. Returns the refusal of a rejected request.
     std::optional<Failure> checkCapacity();
@@ -185,6 +187,8 @@
     void recordTimeToFirstEvent(TimePoint now);
     void recordEventLatency();
     void announceEvidence(const VersionShift &shift);
+    /// Records the answer for the choice of the first model.
+    void recordModelAnswer(const AnswerHead &answer);
     void updateLoadLevel(Milliseconds waited);
     DispatchFacts dispatchFacts(const UpstreamEntry &target) const;
     Milliseconds answerTimeout() const;
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -90,6 +90,12 @@
     return value == "by-demand" || value == "by-length";
 }
 
+bool parseFirstModelRule(FirstModelRule &target, const std::string &value)
+{
+    target = value == "learned" ? FirstModelRule::Learned : FirstModelRule::Smallest;
+    return value == "learned" || value == "smallest";
+}
+
 constexpr double maxConfidence = 100;
 constexpr double maxShare = 1;
 constexpr double maxHedgedShare = 0.5;
@@ -251,6 +257,10 @@
          [](InstanceSettings &settings, const std::string &value) {
              return parseReplicaRule(settings.load.replicas, value);
          }},
+    Rule{"load", "first-model", false, "smallest or learned",
+         [](InstanceSettings &settings, const std::string &value) {
+             return parseFirstModelRule(settings.load.firstModel, value);
+         }},
 };
 
 const Rule *findRule(const std::string &section, const std::string &key)
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -270,6 +270,7 @@
         co_return this->isOvertaken() ? AttemptResult::Overtaken : *ended;
     }
     if (isSuccess(static_cast<int>(connection.head().result_int())) && this->route().streams) {
+        this->recordModelAnswer(answer);
         if (this->escalateToLargerModel(answer)) {
             co_return AttemptResult::PoorAnswer;
         }
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -212,6 +212,18 @@
     }
 }
 
+void ForwardedRequest::recordModelAnswer(const AnswerHead &answer)
+{
+    if (!this->context.learnsFirstModel || this->route().sizes.size() < 2) {
+        return;
+    }
+    const TimePoint now = bootClockNow();
+    const bool isAccepted = answer.confidence.value_or(0) >= this->context.sizes.minConfidence;
+    this->context.modelChoice.onAnswer(hedgeKind(this->route().name.str(), this->facts.promptTokens),
+                                       {.size = this->sizeIndex, .isAccepted = isAccepted, .time = now - this->sentAt},
+                                       now);
+}
+
 void ForwardedRequest::updateLoadLevel(Milliseconds waited)
 {
     constexpr double newestWeight = 0.1;
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -178,7 +178,27 @@
 void ForwardedRequest::adopt(Resolution found)
 {
     this->resolution = std::move(found);
-    this->sizeIndex = firstSize(this->route(), this->route().maxAttempts);
+    this->sizeIndex = this->firstModel();
+}
+
+std::size_t ForwardedRequest::firstModel()
+{
+    const RouteRule &route = this->route();
+    if (!this->context.learnsFirstModel || route.sizes.size() < 2) {
+        return firstSize(route, route.maxAttempts);
+    }
+    const TimePoint now = bootClockNow();
+    const FirstModelFacts modelFacts{.kind = hedgeKind(route.name.str(), this->facts.promptTokens),
+                                     .sizes = route.sizes.size(),
+                                     .attemptsLeft = route.maxAttempts,
+                                     .retriesLeft = this->context.budget.remaining(this->service(), now),
+                                     .loadLevel = this->context.loadLevels[this->service()]};
+    const FirstModel first = this->context.modelChoice.choose(modelFacts, now);
+    this->context.metrics.countEvent("first_model_" + std::string(reasonName(first.reason)));
+    if (first.reason != FirstModelReason::Smallest) {
+        this->attemptLog.append(" first:").append(reasonName(first.reason));
+    }
+    return first.size;
 }
 
 std::optional<Failure> ForwardedRequest::followNewestConfiguration()
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -181,6 +181,7 @@
                           .evidence = bounds.evidence,
                           .stable = bounds.stable});
     this->context.sharesLoad = this->settings.load.shared;
+    this->context.learnsFirstModel = this->settings.load.firstModel == FirstModelRule::Learned;
     this->context.replicasByDemand = this->settings.load.replicas == ReplicaRule::ByDemand;
     this->sync.setShiftLimits(
         {.maxExposedShare = bounds.maxExposedShare, .sessionIdleTimeout = bounds.sessionIdleTimeout});
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -271,6 +271,7 @@
         settings.contracts.emplace_back("pressure");
         platform::applyContracts(settings);
         CPPUNIT_ASSERT(settings.load.shared && settings.load.replicas == ReplicaRule::ByDemand);
+        CPPUNIT_ASSERT(settings.load.firstModel == FirstModelRule::Learned);
         CPPUNIT_ASSERT(!settings.load.controlsAdmission && settings.hedging.maxShare == 0);
     }
 
--- a/tests/unit-settings.cpp
+++ b/tests/unit-settings.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(checksOverridesLikeFileValues);
     CPPUNIT_TEST(admissionControlIsOffByDefault);
     CPPUNIT_TEST(replicasAreByLengthUnlessTheFileSaysByDemand);
+    CPPUNIT_TEST(theSmallestModelIsFirstUnlessTheFileSaysLearned);
     CPPUNIT_TEST(readsOrReportsArbitraryBytes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -120,6 +121,20 @@
         CPPUNIT_ASSERT(hasProblem(problems, "load", "replicas", "'many'"));
     }
 
+    // Guards against a cascade that changes where the settings do not ask for it.
+    void theSmallestModelIsFirstUnlessTheFileSaysLearned()
+    {
+        const auto read = [](const std::string &more, std::vector<SettingProblem> &problems) {
+            return readSettings(validFile + more, "f.ini", problems);
+        };
+        std::vector<SettingProblem> problems;
+        CPPUNIT_ASSERT(read("", problems)->load.firstModel == FirstModelRule::Smallest);
+        CPPUNIT_ASSERT(read("[load]\nfirst-model = smallest\n", problems)->load.firstModel == FirstModelRule::Smallest);
+        CPPUNIT_ASSERT(read("[load]\nfirst-model = learned\n", problems)->load.firstModel == FirstModelRule::Learned);
+        CPPUNIT_ASSERT(!read("[load]\nfirst-model = large\n", problems));
+        CPPUNIT_ASSERT(hasProblem(problems, "load", "first-model", "'large'"));
+    }
+
     void reportsUnreadableLines()
     {
         std::vector<SettingProblem> problems;
