Hedge by the objective while the usual response time is not known

An instance with 6 requests per second never learned 50 response times of a kind, so it sent next to no hedges.

The delay is a quarter of the objective until 20 response times are known, and at most 0.4 of it. On routes with several models a hedge needs two attempts and leaves four retries of the budget to the largest model; a poor answer of a hedge goes to the largest model at once, since the first attempt's answer to the same request has the same confidence.

unit-hedgepolicy and unit-net-forward-hedge pass (7 and 19).

--- a/bench/hedging.cpp
+++ b/bench/hedging.cpp
@@ -187,7 +187,8 @@
         if (this->way == Way::Tied) {
             this->send(request, false);
         } else if (this->way != Way::Nothing) {
-            const auto delay = instance.policy.delay(kind, this->clock());
+            const auto delay
+                = instance.policy.delay(kind, Milliseconds(static_cast<std::int64_t>(objectiveMs)), this->clock());
             this->at(this->now + (delay ? static_cast<double>(delay->count()) : deadlineMs),
                      [this, request]() { this->hurry(request); });
         }
--- a/include/parsleyvane/ingress/hedgepolicy.h
+++ b/include/parsleyvane/ingress/hedgepolicy.h
@@ -22,7 +22,15 @@
     Milliseconds window{10000};
     double quantile = 0.95; ///< of the response times, after which a request is hedged
     Milliseconds minDelay{20}; ///< below it, response times vary too much with the scheduling of the processes
-    double minSamples = 50; ///< of a kind of work, before its requests are hedged
+    double minSamples = 20; ///< of a kind of work, before its quantile is used
+    /// Fraction of the objective after which a request is hedged while the usual response time is not known. An
+    /// instance with 6 requests per second of several kinds takes longer to learn it than a disturbance lasts.
+    double defaultDelay = 0.25;
+    /// Fraction of the objective after which a hedge seldom responds within it.
+    double maxDelay = 0.4;
+    /// Retries that hedges leave in the budget to requests that a larger model may have to answer: when hedges took
+    /// them, twice as many doubtful answers were accepted.
+    double cascadeReserve = 4;
     double maxSamples = 256; ///< of a kind of work; at this number all are halved, so that old ones fade
     Milliseconds retention{300000}; ///< of the times of a kind of work that has no new ones
     std::size_t maxKinds = 256;
@@ -37,7 +45,7 @@
     Send,
     Off, ///< hedging is disabled
     NotRepeatable, ///< the request may run only once, or its answer has begun
-    FewSamples, ///< the usual response time is not known
+    FewSamples, ///< neither the usual response time nor an objective is known
     SuspectedPrompt, ///< a part of the request may crash upstreams
     NoAttempts, ///< the request has used all its attempts
     LittleTime, ///< the second upstream could not answer in time
@@ -57,6 +65,7 @@
     bool mayRepeat = false; ///< the request may run more than once, and its answer has not begun
     bool hasAttemptLeft = false;
     bool isSuspected = false;
+    bool mayNeedLargerModel = false; ///< the answer of the first attempt may be too poor
     double retriesLeft = 0; ///< by RepeatBudget::remaining()
     Milliseconds timeLeft{0}; ///< until the client's timeout
     Milliseconds objective{0}; ///< of the response time
@@ -96,8 +105,9 @@
     {
         return this->limits.maxShare > 0;
     }
-    /// @brief How long after its sending a request of this kind may be hedged; empty when that is not known.
-    std::optional<Milliseconds> delay(const std::string &kind, TimePoint now) const;
+    /// @brief How long after its sending a request of this kind may be hedged: the quantile of its response times,
+    /// within limits that depend on the objective. Empty when neither is known.
+    std::optional<Milliseconds> delay(const std::string &kind, Milliseconds objective, TimePoint now) const;
     /// @brief Whether a request that has waited for delay() is hedged.
     HedgeVerdict decide(const HedgeFacts &facts, TimePoint now) const;
 
@@ -119,6 +129,8 @@
         TimePoint at{};
     };
 
+    /// The quantile of the response times of the kind; empty with too few samples.
+    std::optional<Milliseconds> usualTime(const std::string &kind, TimePoint now) const;
     bool isShort(double attempts, double refusals) const;
     double decay(const Attempts &counts, TimePoint now) const;
     void makeRoom();
--- a/src/core/ingress/hedgepolicy.cpp
+++ b/src/core/ingress/hedgepolicy.cpp
@@ -83,10 +83,24 @@
     this->share.spend(service, now);
 }
 
-std::optional<Milliseconds> HedgePolicy::delay(const std::string &kind, TimePoint now) const
+std::optional<Milliseconds> HedgePolicy::delay(const std::string &kind, Milliseconds objective, TimePoint now) const
+{
+    if (!this->isEnabled()) {
+        return std::nullopt;
+    }
+    std::optional<Milliseconds> delay = this->usualTime(kind, now);
+    if (objective > Milliseconds(0)) {
+        const double fraction = delay ? this->limits.maxDelay : this->limits.defaultDelay;
+        const Milliseconds limit(std::llround(fraction * static_cast<double>(objective.count())));
+        delay = std::min(delay.value_or(limit), limit);
+    }
+    return delay ? std::optional(std::max(this->limits.minDelay, *delay)) : std::nullopt;
+}
+
+std::optional<Milliseconds> HedgePolicy::usualTime(const std::string &kind, TimePoint now) const
 {
     const auto found = this->kinds.find(kind);
-    if (!this->isEnabled() || found == this->kinds.end()) {
+    if (found == this->kinds.end()) {
         return std::nullopt;
     }
     const Times &times = found->second;
@@ -103,7 +117,7 @@
     }
     // The bucket's upper end, so that a hedge is rather late than early.
     const double upperEnd = std::exp2(static_cast<double>(bucket + 1) / bucketsPerDoubling);
-    return std::max(this->limits.minDelay, Milliseconds(static_cast<std::int64_t>(std::ceil(upperEnd))));
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(upperEnd)));
 }
 
 HedgeVerdict HedgePolicy::decide(const HedgeFacts &facts, TimePoint now) const
@@ -114,7 +128,7 @@
     if (!facts.mayRepeat) {
         return HedgeVerdict::NotRepeatable;
     }
-    if (!this->delay(facts.kind, now)) {
+    if (!this->delay(facts.kind, facts.objective, now)) {
         return HedgeVerdict::FewSamples;
     }
     if (facts.isSuspected) {
@@ -138,7 +152,8 @@
     if (this->share.remaining(facts.service, now) < 1) {
         return HedgeVerdict::Limit;
     }
-    return facts.retriesLeft < 1 ? HedgeVerdict::RetryBudget : HedgeVerdict::Send;
+    const double needed = 1 + (facts.mayNeedLargerModel ? this->limits.cascadeReserve : 0);
+    return facts.retriesLeft < needed ? HedgeVerdict::RetryBudget : HedgeVerdict::Send;
 }
 
 bool HedgePolicy::isShort(double attempts, double refusals) const
--- a/src/net/forward/forwardedhedge.cpp
+++ b/src/net/forward/forwardedhedge.cpp
@@ -38,7 +38,7 @@
     bool isSent = false;
     bool isCancelled = false;
     bool isEscalated = false; ///< a larger model gets the request
-    bool hasWon = false;
+    bool hasWon = false; ///< the first attempt is overtaken
     bool hasEnded = false; ///< the coroutine has ended
 };
 
@@ -52,7 +52,8 @@
         this->withholdHedge(verdictName(HedgeVerdict::NotRepeatable), false);
         return;
     }
-    const auto delay = policy.delay(hedgeKind(this->workKind, this->facts.promptTokens), bootClockNow());
+    const auto delay
+        = policy.delay(hedgeKind(this->workKind, this->facts.promptTokens), this->route().objective, bootClockNow());
     if (!delay) {
         this->withholdHedge(verdictName(HedgeVerdict::FewSamples), false);
         return;
@@ -85,6 +86,10 @@
         this->logHedge(*hedge, "won", {});
         co_return;
     }
+    if (hedge->isEscalated && this->call != nullptr) {
+        hedge->hasWon = true;
+        this->call->close();
+    }
     if (result == AttemptResult::Failed && hedge->answer) {
         this->failedAnswer = std::move(*hedge->answer);
     }
@@ -101,11 +106,16 @@
 bool ForwardedRequest::takeHedgeTarget(Hedge &hedge, const UpstreamEntry &first)
 {
     const TimePoint now = bootClockNow();
+    // A hedge counts as a run, and the larger model needs one as well.
+    const bool mayNeedLargerModel = this->sizeIndex + 1 < this->route().sizes.size();
+    const unsigned runsNeeded = mayNeedLargerModel ? 2 : 1;
+    const bool hasRunsLeft = this->possibleRuns + runsNeeded <= this->route().maxAttempts;
     HedgeFacts hedgeFacts{.service = this->service(),
                           .kind = hedgeKind(this->workKind, this->facts.promptTokens),
                           .mayRepeat = this->isRepeatable() && !this->exchange.answered(),
-                          .hasAttemptLeft = this->retryObstacle().empty(),
+                          .hasAttemptLeft = hasRunsLeft && this->retryObstacle().empty(),
                           .isSuspected = this->isTrial || this->context.fleetView.crashes.isSuspected(this->suspects),
+                          .mayNeedLargerModel = mayNeedLargerModel,
                           .retriesLeft = this->context.budget.remaining(this->service(), now),
                           .timeLeft = this->remainingTime(),
                           .objective = this->route().objective};
@@ -203,8 +213,8 @@
     }
     const auto status = static_cast<int>(hedge.connection->head().result_int());
     if (this->route().streams && status < statusMultiple) {
-        // Without the first attempt, this answer decides whether a larger model gets the request.
-        hedge.isEscalated = this->call == nullptr && this->escalateToLargerModel(head);
+        // The first attempt's answer would be as poor, so the larger model gets the request at once.
+        hedge.isEscalated = this->escalateToLargerModel(head);
         if (hedge.isEscalated || (this->call != nullptr && this->largerModel(head))) {
             co_return AttemptResult::PoorAnswer;
         }
@@ -293,7 +303,7 @@
     if (this->clientDisconnected && first != AttemptResult::Delivered) {
         co_return AttemptResult::ClientDisconnected;
     }
-    if (current->hasWon && !current->isCancelled) {
+    if (current->hasWon && !current->isCancelled && !current->isEscalated) {
         co_return co_await this->relayHedge(*current);
     }
     this->endRunning(*current);
