--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -190,9 +190,7 @@
     const TimePoint now = bootClockNow();
     const FirstModelFacts modelFacts{.kind = hedgeKind(route.name.str(), this->facts.promptTokens),
                                      .sizes = route.sizes.size(),
-                                     .attemptsLeft = route.maxAttempts,
-                                     .retriesLeft = this->context.budget.remaining(this->service(), now),
-                                     .loadLevel = this->context.loadLevels[this->service()]};
+                                     .attemptsLeft = route.maxAttempts};
     const FirstModel first = this->context.modelChoice.choose(modelFacts, now);
     this->context.metrics.countEvent("first_model_" + std::string(reasonName(first.reason)));
     if (first.reason != FirstModelReason::Smallest) {
