--- a/include/parsleyvane/ingress/modelchoice.h
+++ b/include/parsleyvane/ingress/modelchoice.h
@@ -38,7 +38,7 @@
     OneAttempt, ///< the request has no attempt for a larger model
 };
 
-/// @brief The reason's name in logs and metrics, such as "retry_budget".
+/// @brief The reason's name in logs and metrics, such as "one_attempt".
 std::string_view reasonName(FirstModelReason reason);
 
 /// @brief The model to begin with.
