--- a/include/parsleyvane/ingress/hedgepolicy.h
+++ b/include/parsleyvane/ingress/hedgepolicy.h
@@ -20,14 +20,15 @@
 {
     double maxShare = 0; ///< hedges per client request in a window; 0 disables hedging
     Milliseconds window{10000};
-    double quantile = 0.95; ///< of the response times, after which a request is hedged
+    /// Highest quantile of the response times after which a request is hedged. With a larger share, it is as much lower
+    /// as the share permits, so that the share goes to the slowest requests.
+    double maxQuantile = 0.95;
+    double minQuantile = 0.6; ///< below it, hedges would compete with first attempts
     Milliseconds minDelay{20}; ///< below it, response times vary too much with the scheduling of the processes
     double minSamples = 20; ///< of a kind of work, before its quantile is used
     /// Fraction of the objective after which a request is hedged while the usual response time is not known. An
     /// instance with 6 requests per second of several kinds takes longer to learn it than a disturbance lasts.
-    double defaultDelay = 0.25;
-    /// Fraction of the objective after which a hedge seldom responds within it.
-    double maxDelay = 0.4;
+    double defaultDelay = 0.2;
     /// Retries that hedges leave in the budget to requests that a larger model may have to answer: when hedges took
     /// them, twice as many doubtful answers were accepted.
     double cascadeReserve = 4;
@@ -129,7 +130,9 @@
         TimePoint at{};
     };
 
-    /// The quantile of the response times of the kind; empty with too few samples.
+    /// Quantile of the response times after which requests are hedged.
+    double quantile() const;
+    /// That quantile for the kind; empty with too few samples.
     std::optional<Milliseconds> usualTime(const std::string &kind, TimePoint now) const;
     bool isShort(double attempts, double refusals) const;
     double decay(const Attempts &counts, TimePoint now) const;
--- a/include/parsleyvane/ingress/repeatbudget.h
+++ b/include/parsleyvane/ingress/repeatbudget.h
@@ -28,6 +28,9 @@
 class RepeatBudget
 {
 public:
+    /// Fraction of the allowed ratio that is used; the margin covers windows that overlap this one only in part.
+    static constexpr double usedRatioFraction = 0.8;
+
     // constructors
     explicit RepeatBudget(RepeatBounds bounds = {});
 
--- a/src/core/ingress/hedgepolicy.cpp
+++ b/src/core/ingress/hedgepolicy.cpp
@@ -89,14 +89,18 @@
         return std::nullopt;
     }
     std::optional<Milliseconds> delay = this->usualTime(kind, now);
-    if (objective > Milliseconds(0)) {
-        const double fraction = delay ? this->limits.maxDelay : this->limits.defaultDelay;
-        const Milliseconds limit(std::llround(fraction * static_cast<double>(objective.count())));
-        delay = std::min(delay.value_or(limit), limit);
+    if (!delay && objective > Milliseconds(0)) {
+        delay = Milliseconds(std::llround(this->limits.defaultDelay * static_cast<double>(objective.count())));
     }
     return delay ? std::optional(std::max(this->limits.minDelay, *delay)) : std::nullopt;
 }
 
+double HedgePolicy::quantile() const
+{
+    return std::clamp(1 - RepeatBudget::usedRatioFraction * this->limits.maxShare, this->limits.minQuantile,
+                      this->limits.maxQuantile);
+}
+
 std::optional<Milliseconds> HedgePolicy::usualTime(const std::string &kind, TimePoint now) const
 {
     const auto found = this->kinds.find(kind);
@@ -111,7 +115,7 @@
     std::size_t bucket = 0;
     for (; bucket + 1 < times.buckets.size(); ++bucket) {
         below += times.buckets.at(bucket);
-        if (below >= this->limits.quantile * times.total) {
+        if (below >= this->quantile() * times.total) {
             break;
         }
     }
--- a/src/core/ingress/repeatbudget.cpp
+++ b/src/core/ingress/repeatbudget.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/// Fraction of the allowed ratio that is used; the margin covers windows that overlap this one only in part.
-constexpr double usedRatioFraction = 0.8;
 /// The largest fraction of the slack for one instance.
 constexpr double maxSlackFraction = 0.02;
 /// Fraction of the slack that all instances use together; the margin covers instances that are not known yet.
