--- a/src/core/ingress/hedgepolicy.cpp
+++ b/src/core/ingress/hedgepolicy.cpp
@@ -83,10 +83,28 @@
     this->share.spend(service, now);
 }
 
-std::optional<Milliseconds> HedgePolicy::delay(const std::string &kind, TimePoint now) const
+std::optional<Milliseconds> HedgePolicy::delay(const std::string &kind, Milliseconds objective, TimePoint now) const
+{
+    if (!this->isEnabled()) {
+        return std::nullopt;
+    }
+    std::optional<Milliseconds> delay = this->usualTime(kind, now);
+    if (!delay && objective > Milliseconds(0)) {
+        delay = Milliseconds(std::llround(this->limits.defaultDelay * static_cast<double>(objective.count())));
+    }
+    return delay ? std::optional(std::max(this->limits.minDelay, *delay)) : std::nullopt;
+}
+
+double HedgePolicy::quantile() const
+{
+    return std::clamp(1 - RepeatBudget::usedRatioFraction * this->limits.maxShare, this->limits.minQuantile,
+                      this->limits.maxQuantile);
+}
+
+std::optional<Milliseconds> HedgePolicy::usualTime(const std::string &kind, TimePoint now) const
 {
     const auto found = this->kinds.find(kind);
-    if (!this->isEnabled() || found == this->kinds.end()) {
+    if (found == this->kinds.end()) {
         return std::nullopt;
     }
     const Times &times = found->second;
@@ -97,13 +115,13 @@
     std::size_t bucket = 0;
     for (; bucket + 1 < times.buckets.size(); ++bucket) {
         below += times.buckets.at(bucket);
-        if (below >= this->limits.quantile * times.total) {
+        if (below >= this->quantile() * times.total) {
             break;
         }
     }
     // The bucket's upper end, so that a hedge is rather late than early.
     const double upperEnd = std::exp2(static_cast<double>(bucket + 1) / bucketsPerDoubling);
-    return std::max(this->limits.minDelay, Milliseconds(static_cast<std::int64_t>(std::ceil(upperEnd))));
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(upperEnd)));
 }
 
 HedgeVerdict HedgePolicy::decide(const HedgeFacts &facts, TimePoint now) const
@@ -114,7 +132,7 @@
     if (!facts.mayRepeat) {
         return HedgeVerdict::NotRepeatable;
     }
-    if (!this->delay(facts.kind, now)) {
+    if (!this->delay(facts.kind, facts.objective, now)) {
         return HedgeVerdict::FewSamples;
     }
     if (facts.isSuspected) {
@@ -138,7 +156,8 @@
     if (this->share.remaining(facts.service, now) < 1) {
         return HedgeVerdict::Limit;
     }
-    return facts.retriesLeft < 1 ? HedgeVerdict::RetryBudget : HedgeVerdict::Send;
+    const double needed = 1 + (facts.mayNeedLargerModel ? this->limits.cascadeReserve : 0);
+    return facts.retriesLeft < needed ? HedgeVerdict::RetryBudget : HedgeVerdict::Send;
 }
 
 bool HedgePolicy::isShort(double attempts, double refusals) const
