Refuse numbers out of range in the configuration

Callers saw: a configuration with 1e300 for slots was accepted, with a value that depends on the processor. Cause: parseConfiguration() converted numbers with a fraction or an exponent to integer types without a check of the range, which is undefined. Change: such a number outside the type's range is refused, with its member. Test: unit-configuration, refusesNumbersOutOfRange, failed before (1e300 was accepted). unit-configuration, unit-check and unit-parsers pass.

--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace parsleyvane {
 
@@ -39,6 +42,25 @@
     return Id(json.at(member).get<std::string>());
 }
 
+/**
+ * Reads a whole number. A number with a fraction or an exponent is truncated, as the JSON library does; such a number
+ * outside the type's range is refused, as its conversion is undefined.
+ */
+template<typename Number>
+Number readWhole(const Json &json, const char *member, Number fallback)
+{
+    const auto found = json.find(member);
+    if (found != json.end() && found->is_number_float()) {
+        const double end = std::ldexp(1.0, std::numeric_limits<Number>::digits);
+        const double begin = std::numeric_limits<Number>::is_signed ? -end : 0.0;
+        const double value = std::trunc(found->template get<double>());
+        if (!(value >= begin && value < end)) {
+            throw std::invalid_argument("'" + std::string(member) + "' is out of range: " + found->dump());
+        }
+    }
+    return json.value(member, fallback);
+}
+
 ModelVersion readModelVersion(const Json &json)
 {
     return ModelVersion{readId<ModelName>(json, "model"), readId<VersionName>(json, "version")};
@@ -78,7 +100,7 @@
     }
     work.qualityTarget = json.value("qualityTarget", work.qualityTarget);
     work.resumable = json.value("resumable", work.resumable);
-    work.maxTokens = json.value("maxTokens", work.maxTokens);
+    work.maxTokens = readWhole(json, "maxTokens", work.maxTokens);
     return work;
 }
 
@@ -112,7 +134,7 @@
     task.name = readId<TaskName>(json, "name");
     task.work = readWork(json);
     task.repeatable = json.value("repeatable", false);
-    task.maxWait = Milliseconds(json.value("maxWaitMs", task.maxWait.count()));
+    task.maxWait = Milliseconds(readWhole(json, "maxWaitMs", task.maxWait.count()));
     return task;
 }
 
@@ -136,7 +158,7 @@
     const Json limits = json.value("limits", Json::object());
     account.limits.requestsPerSecond = limits.value("requestsPerSecond", account.limits.requestsPerSecond);
     account.limits.burst = limits.value("burst", account.limits.burst);
-    account.limits.inFlight = limits.value("inFlight", account.limits.inFlight);
+    account.limits.inFlight = readWhole(limits, "inFlight", account.limits.inFlight);
     const Json priority = json.value("priority", Json::object());
     account.priority.bought = priority.value("bought", account.priority.bought);
     account.priority.share = priority.value("share", account.priority.share);
@@ -165,8 +187,8 @@
     VersionEntry entry;
     entry.id = readModelVersion(json);
     entry.state = parseState(json.at("state").get<std::string>());
-    entry.weight = json.value("weight", entry.weight);
-    entry.costPerMillionTokens = MicroCost(json.value("costPerMillionTokens", std::int64_t{0}));
+    entry.weight = readWhole(json, "weight", entry.weight);
+    entry.costPerMillionTokens = MicroCost(readWhole(json, "costPerMillionTokens", std::int64_t{0}));
     return entry;
 }
 
@@ -186,7 +208,7 @@
     }
     Engine engine;
     engine.loads = readModelVersions(json.at("loads"));
-    engine.slots = json.value("slots", engine.slots);
+    engine.slots = readWhole(json, "slots", engine.slots);
     engine.checksFence = json.value("checksFence", engine.checksFence);
     return engine;
 }
@@ -229,7 +251,7 @@
 Rollout readRollout(const Json &json)
 {
     return Rollout{readId<ModelName>(json, "model"), readId<VersionName>(json, "from"), readId<VersionName>(json, "to"),
-                   json.at("state").get<std::string>(), json.value("perMille", 0U)};
+                   json.at("state").get<std::string>(), readWhole(json, "perMille", 0U)};
 }
 
 Json writeRollout(const Rollout &rollout)
@@ -250,7 +272,7 @@
 Configuration readConfiguration(const Json &json)
 {
     Configuration configuration;
-    configuration.revision = Revision(json.value("revision", std::uint64_t{0}));
+    configuration.revision = Revision(readWhole(json, "revision", std::uint64_t{0}));
     configuration.change = readChange(json.value("change", Json::object()));
     for (const Json &account : json.at("accounts")) {
         configuration.accounts.push_back(readAccount(account));
--- a/tests/unit-configuration.cpp
+++ b/tests/unit-configuration.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(ConfigurationTest);
     CPPUNIT_TEST(roundTripsThroughJson);
     CPPUNIT_TEST(reportsTheMissingMember);
+    CPPUNIT_TEST(refusesNumbersOutOfRange);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,6 +43,28 @@
         CPPUNIT_ASSERT(reason.failure().id == ErrorId::InvalidConfiguration);
         CPPUNIT_ASSERT(reason.failure().detail.find("versions") != std::string::npos);
     }
+
+    // Guards against converting a fraction or an exponent to an integer type that cannot hold it.
+    void refusesNumbersOutOfRange()
+    {
+        const auto read = [](const std::string &number, const std::string &revision) {
+            LastReason reason;
+            const bool isRead = parseConfiguration(R"({"accounts":[],"versions":[],"upstreams":[{"id":"e1","address":)"
+                                                   R"("127.0.0.1:1","zone":"a","kind":"engine","loads":[],"slots":)"
+                                                       + number + R"(}],"revision":)" + revision + "}",
+                                                   reason)
+                                    .has_value();
+            return isRead ? std::string() : reason.failure().detail;
+        };
+        for (const char *accepted : {"8", "8.0", "4294967295.0", "-0.5"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(accepted, std::string(), read(accepted, "1"));
+        }
+        for (const char *refused : {"1e300", "-1e300", "4294967296.0", "-1.0", "99999999999999999999"}) {
+            CPPUNIT_ASSERT_MESSAGE(refused, read(refused, "1").find("'slots' is out of range") != std::string::npos);
+        }
+        CPPUNIT_ASSERT(read("8", "1e20").find("'revision' is out of range") != std::string::npos);
+        CPPUNIT_ASSERT(read("8", "1e19").empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationTest);
