Log unreadable cold times and rates

Operators saw: nothing; a cold time or rate that cannot be read was ignored without a trace. Cause: the decoders left the value empty, as for a message without it. Change: the decoders note that a value was present but unreadable. For answers it is logged and counted (upstream_limit_unreadable, cold_time_unreadable), for registrations and configurations it is logged (cold_time_unreadable, cold_start_unreadable). The values are ignored as before. No test covers the log lines themselves, as that needs more code than the fix.

--- a/include/parsleyvane/forward/platformport.h
+++ b/include/parsleyvane/forward/platformport.h
@@ -67,6 +67,8 @@
     std::optional<Milliseconds> coldRemaining; ///< how much longer the upstream is slow after its start
     std::optional<Milliseconds> retryAfter; ///< a refusing upstream wants no requests from this instance for so long
     bool isRetryAfterReadable = true;
+    bool isRateReadable = true;
+    bool isColdReadable = true;
 };
 
 /// @brief Rows of a table, or their changes, as of one point in time.
--- a/include/parsleyvane/ingress/routetable.h
+++ b/include/parsleyvane/ingress/routetable.h
@@ -108,6 +108,8 @@
     void setLimits(const ClientLimits &limits);
     /// @brief Sets what the cold upstreams of a service tolerate.
     void setColdStart(const ServiceName &service, const ColdStart &coldStart);
+    /// @brief Records that the configuration of a service's cold phase cannot be read, so that it is reported.
+    void addUnreadableColdStart(const ServiceName &service);
 
     // observers
     Revision revision() const noexcept
@@ -123,6 +125,11 @@
     const TenantRule *findTenant(const std::string &key) const;
     /// @brief What the cold upstreams of a service tolerate; a rate of 0 when it has no cold phase.
     ColdStart coldStart(const ServiceName &service) const;
+    /// @brief Services whose cold phase is ignored because its configuration cannot be read.
+    const std::vector<ServiceName> &unreadableColdStarts() const noexcept
+    {
+        return this->ignoredColdStarts;
+    }
     bool keysRequired() const noexcept
     {
         return this->needsKeys;
@@ -143,6 +150,7 @@
     std::unordered_map<std::string, Prefixes> hosts;
     std::unordered_map<std::string, TenantRule> tenants;
     std::unordered_map<ServiceName, ColdStart> coldStarts;
+    std::vector<ServiceName> ignoredColdStarts;
     ClientLimits clientLimits;
     std::size_t routes = 0;
     bool needsKeys = false;
--- a/include/parsleyvane/ingress/upstreamlist.h
+++ b/include/parsleyvane/ingress/upstreamlist.h
@@ -29,7 +29,9 @@
     std::int64_t startedAtMs = 0; ///< process start, in Unix ms; a new value means a new process with the same id
     std::optional<Milliseconds> coldRemaining; ///< how much longer it is slow after its start; empty when not readable
 
-    /// @brief Compares all but coldRemaining, which falls while the registration stays the same.
+    bool isColdReadable = true; ///< false when the registration has a cold time that cannot be read
+
+    /// @brief Compares all but the cold time, which falls while the registration stays the same.
     friend bool operator==(const UpstreamEntry &a, const UpstreamEntry &b);
 };
 
--- a/src/core/ingress/routetable.cpp
+++ b/src/core/ingress/routetable.cpp
@@ -37,6 +37,11 @@
     this->coldStarts.insert_or_assign(service, coldStart);
 }
 
+void RouteTable::addUnreadableColdStart(const ServiceName &service)
+{
+    this->ignoredColdStarts.push_back(service);
+}
+
 ColdStart RouteTable::coldStart(const ServiceName &service) const
 {
     const auto found = this->coldStarts.find(service);
--- a/src/net/forward/fleetrows.cpp
+++ b/src/net/forward/fleetrows.cpp
@@ -60,6 +60,9 @@
                            {{"revision", static_cast<std::int64_t>(fleetView.table->revision().value())},
                             {"row_version", static_cast<std::int64_t>(rowVersion)},
                             {"routes", static_cast<std::int64_t>(fleetView.table->routeCount())}});
+    for (const ServiceName &service : fleetView.table->unreadableColdStarts()) {
+        this->context.log.line("cold_start_unreadable", {{"service", service.str()}});
+    }
     this->configured();
 }
 
@@ -136,6 +139,9 @@
 {
     FleetView &fleetView = this->context.fleetView;
     for (const UpstreamEntry &entry : entries) {
+        if (!entry.isColdReadable) {
+            this->context.log.line("cold_time_unreadable", {{"upstream", processName(entry)}});
+        }
         const RegisteredUpstream *known = fleetView.upstreams.find(entry.id);
         const bool isNew = known == nullptr || !isSameProcess(known->entry, entry);
         fleetView.coldUpstreams.onRegistered(entry, isNew && fleetView.upstreamsKnown, now);
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -199,11 +199,15 @@
                                 {"process", processName(target)},
                                 {"id", this->facts.id.str()}});
     }
-    if (!answer.isRetryAfterReadable) {
-        this->context.metrics.countEvent("retry_after_unreadable");
-        this->context.log.line("retry_after_unreadable",
-                               {{"upstream", processName(target)}, {"id", this->facts.id.str()}});
-    }
+    const auto reportUnless = [&](bool isReadable, const std::string &event) {
+        if (!isReadable) {
+            this->context.metrics.countEvent(event);
+            this->context.log.line(event, {{"upstream", processName(target)}, {"id", this->facts.id.str()}});
+        }
+    };
+    reportUnless(answer.isRetryAfterReadable, "retry_after_unreadable");
+    reportUnless(answer.isRateReadable, "upstream_limit_unreadable");
+    reportUnless(answer.isColdReadable, "cold_time_unreadable");
     if (answer.retryAfter && upstreams.postpone(target, now + *answer.retryAfter)) {
         this->context.metrics.countEvent("upstream_postponed");
         this->context.log.line(
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -53,7 +53,7 @@
     CPPUNIT_TEST(readsARollOutOrder);
     CPPUNIT_TEST(readsColdStartsRegionsAndEvacuations);
     CPPUNIT_TEST(onlyTheContractThatAsksForItChangesTheLoadSettings);
-    CPPUNIT_TEST(unreadableColdTimesAreIgnored);
+    CPPUNIT_TEST(unreadableColdTimesAreIgnoredAndReported);
     CPPUNIT_TEST(readsAnUpstream);
     CPPUNIT_TEST(refusesMalformedUpstreamRows);
     CPPUNIT_TEST(refusesAnUpstreamRowThatNamesNoUsableServer);
@@ -246,7 +246,8 @@
         const std::string text = R"({"version":7,"routes":[{"host":"h","prefix":"/p/","service":"s",
             "allowed_regions":["north",5]}],"services":[{"name":"s","cold_start_s":3,"cold_per_s":7.8},
             {"name":"t","cold_start_s":"3","cold_per_s":-1},{"name":"v","cold_start_s":1e300,"cold_per_s":2},
-            {"name":"w","cold_start_s":3,"cold_per_s":1e300}]})";
+            {"name":"w","cold_start_s":3,"cold_per_s":1e300},{"name":"x"},
+            {"name":"y","cold_start_s":0,"cold_per_s":0}]})";
         LastReason reason;
         const auto order = platform::readOrder(row("op/config", text), reason);
         const auto table = std::get<std::shared_ptr<const RouteTable>>(*order);
@@ -254,6 +255,9 @@
         CPPUNIT_ASSERT(table->coldStart(ServiceName("t")) == ColdStart());
         CPPUNIT_ASSERT(table->coldStart(ServiceName("v")) == ColdStart());
         CPPUNIT_ASSERT(table->coldStart(ServiceName("w")) == ColdStart());
+        CPPUNIT_ASSERT(table->coldStart(ServiceName("x")) == ColdStart());
+        CPPUNIT_ASSERT(
+            (table->unreadableColdStarts() == std::vector{ServiceName("t"), ServiceName("v"), ServiceName("w")}));
         CPPUNIT_ASSERT(table->findRoute("h", "/p/")->allowedRegions == std::vector{RegionId("north")});
         const auto evacuation = platform::readOrder(row("op/evacuate/z", "{}"), reason);
         CPPUNIT_ASSERT(std::get<EvacuationOrder>(*evacuation).zone == ZoneId("z"));
@@ -274,18 +278,33 @@
         CPPUNIT_ASSERT(!settings.load.controlsAdmission && settings.hedging.maxShare == 0);
     }
 
-    void unreadableColdTimesAreIgnored()
+    // Guards against ignoring an unreadable value without a report.
+    void unreadableColdTimesAreIgnoredAndReported()
     {
-        const auto coldOf = [](const std::string &value) {
+        const auto read = [](const std::string &value) {
             LastReason reason;
             const std::string text = R"({"service":"s","address":"127.0.0.1:80","zone":"z","version":"v","slots":6,)"
                                      R"("state":"ready","cold_remaining_ms":)"
                 + value + "}";
-            return platform::readUpstream(row("servers/i-1", text), reason)->coldRemaining;
+            return platform::readUpstream(row("servers/i-1", text), reason).value();
+        };
+        const auto readHead = [](const std::string &cold, const std::string &rate) {
+            http::response_header<> head;
+            head.set(std::string(platform::coldHeader), cold);
+            head.set(std::string(platform::rateLimitHeader), rate);
+            return platform::readAnswer(head);
         };
-        CPPUNIT_ASSERT(coldOf("1200") == Milliseconds(1200));
+        CPPUNIT_ASSERT(read("1200").coldRemaining == Milliseconds(1200) && read("1200").isColdReadable);
+        CPPUNIT_ASSERT(readHead("1200", "5").isColdReadable && readHead("1200", "5").isRateReadable);
+        CPPUNIT_ASSERT(platform::readAnswer({}).isColdReadable && platform::readAnswer({}).isRateReadable);
+        LastReason reason;
+        CPPUNIT_ASSERT(platform::readUpstream(row("servers/i-1", validUpstream), reason)->isColdReadable);
         for (const char *value : {"-1", "1e300", "\"5\"", "null", "18446744073709551615", "[]"}) {
-            CPPUNIT_ASSERT_MESSAGE(value, !coldOf(value));
+            CPPUNIT_ASSERT_MESSAGE(value, !read(value).coldRemaining && !read(value).isColdReadable);
+            CPPUNIT_ASSERT_MESSAGE(value, !readHead(value, "5").coldRemaining && !readHead(value, "5").isColdReadable);
+        }
+        for (const char *value : {"-1", "inf", "nan", "", "five"}) {
+            CPPUNIT_ASSERT_MESSAGE(value, !readHead("5", value).requestRate && !readHead("5", value).isRateReadable);
         }
     }
 
