Do not repeat events without an id when a stream resumes

Clients saw: events without an id twice, when the stream was cut after them and resumed at another upstream. Cause: forwardEvents() recognised repeated events by their id only. Change: RepeatFilter counts the events without an id since the last one with an id. Events at a place that was relayed before are dropped. Comments are passed on and not counted, as an upstream does not repeat them. Test: unit-net-forward, eventsWithoutIdAreNotRepeatedWhenAStreamResumes, failed before (the event "note" arrived twice) and passes.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -227,6 +227,7 @@
     std::optional<WholeAnswer> failedAnswer; ///< the latest server error of an upstream
     std::optional<Failure> refusal; ///< set when a new configuration no longer permits the request
     std::optional<std::uint64_t> lastEvent; ///< id of the last event relayed
+    RepeatFilter repeatFilter; ///< of the events relayed
     std::uint64_t events = 0; ///< relayed in this attempt
     TimePoint firstEventAt{};
     TimePoint sentAt{};
--- a/include/parsleyvane/ingress/eventsplitter.h
+++ b/include/parsleyvane/ingress/eventsplitter.h
@@ -57,4 +57,32 @@
     std::size_t begin = 0;
 };
 
+/**
+ * @brief Recognises the events that an upstream repeats when it resumes a stream, also those without an id: these are
+ * counted from the event with an id before them. Comments are never taken for repeated.
+ */
+class RepeatFilter
+{
+public:
+    // modifiers
+    /// @brief A stream begins that continues after this event.
+    void onStreamBegin(std::optional<std::uint64_t> lastEvent);
+    /// @brief Notes the next event of the stream; returns whether an event at its place was noted in a stream before.
+    bool isRepeated(const RawEvent &event);
+
+private:
+    struct Position
+    {
+        std::optional<std::uint64_t> id;
+        std::uint64_t withoutId = 0; ///< events since the one with the id
+
+        // clang-tidy mistakes the zero in the generated comparison for a null pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
+        friend auto operator<=>(const Position &, const Position &) = default;
+    };
+
+    Position newest;
+    Position current;
+};
+
 } // namespace parsleyvane
--- a/src/core/ingress/eventsplitter.cpp
+++ b/src/core/ingress/eventsplitter.cpp
@@ -45,6 +45,19 @@
     return std::string_view::npos;
 }
 
+/// Whether the event has no lines but comments and blank ones.
+bool isComment(std::string_view event)
+{
+    for (std::size_t line = 0; line < event.size();) {
+        if (event[line] != ':' && event[line] != '\r' && event[line] != '\n') {
+            return false;
+        }
+        const std::size_t end = event.find('\n', line);
+        line = end == std::string_view::npos ? event.size() : end + 1;
+    }
+    return true;
+}
+
 } // namespace
 
 void EventSplitter::feed(std::string_view bytes)
@@ -68,4 +81,28 @@
     return RawEvent{.bytes = event, .id = eventId(event)};
 }
 
+void RepeatFilter::onStreamBegin(std::optional<std::uint64_t> lastEvent)
+{
+    this->current = {.id = lastEvent};
+    if (this->newest.id != lastEvent) {
+        this->newest = this->current;
+    }
+}
+
+bool RepeatFilter::isRepeated(const RawEvent &event)
+{
+    if (event.id) {
+        this->current = {.id = event.id};
+    } else if (!isComment(event.bytes)) {
+        ++this->current.withoutId;
+    } else {
+        return false;
+    }
+    if (this->current <= this->newest) {
+        return true;
+    }
+    this->newest = this->current;
+    return false;
+}
+
 } // namespace parsleyvane
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -401,6 +401,7 @@
                                                             EventSplitter splitter)
 {
     LastReason reason;
+    this->repeatFilter.onStreamBegin(this->lastEvent);
     if (splitter.pending() > 0) {
         if (const auto ended = co_await this->forwardEvents(target, connection, splitter)) {
             co_return *ended;
@@ -460,12 +461,13 @@
     }
     // Counted as relayed only once all are valid: at a gap, all of them are left to the next attempt.
     auto newestEvent = this->lastEvent;
+    RepeatFilter newestFilter = this->repeatFilter;
     std::uint64_t count = 0;
     while (const auto event = splitter.next()) {
+        if (newestFilter.isRepeated(*event)) {
+            continue;
+        }
         if (event->id) {
-            if (newestEvent && *event->id <= *newestEvent) {
-                continue;
-            }
             if (newestEvent && *event->id != *newestEvent + 1) {
                 co_return AttemptResult::BadData;
             }
@@ -474,6 +476,7 @@
         out.append(event->bytes);
         ++count;
     }
+    this->repeatFilter = newestFilter;
     if (out.empty()) {
         co_return std::nullopt;
     }
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -59,6 +59,7 @@
     CPPUNIT_TEST(aConnectionWithUnreadBytesIsNotReused);
     CPPUNIT_TEST(aRunOnceRequestUsesANewConnection);
     CPPUNIT_TEST(aStreamResumesAfterItsLastCompleteEvent);
+    CPPUNIT_TEST(eventsWithoutIdAreNotRepeatedWhenAStreamResumes);
     CPPUNIT_TEST(anErrorAfterAStreamHasBegunDoesNotReachTheClient);
     CPPUNIT_TEST(aRefusalWithoutIdOnAKeptConnectionIsNotBelieved);
     CPPUNIT_TEST(aStartedStreamResumesWithoutRetryBudget);
@@ -314,6 +315,39 @@
         CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
     }
 
+    // Guards against events without an id that reach the client again from the upstream that resumes the stream.
+    void eventsWithoutIdAreNotRepeatedWhenAStreamResumes()
+    {
+        const std::string first = "d\r\ndata: first\n\n\r\n";
+        const std::string note = "c\r\ndata: note\n\n\r\n";
+        const std::string done = "c\r\ndata: done\n\n\r\n";
+        const std::string comment = "4\r\n: \n\n\r\n";
+        const std::string begun = streamHead() + first + chunkedEvent(1) + note;
+        const std::string rest = chunkedEvent(2) + done + "0\r\n\r\n";
+        // The upstream that resumes the stream begins after the last event, or with all events.
+        for (const std::string &resumed : {streamHead() + comment + note + rest, begun + rest}) {
+            ForwardRig rig;
+            rig.route("stream", Repeatability::Resumable, true);
+            rig.upstream("u1", {{begun}, {resumed}});
+            rig.upstream("u2", {{begun}, {resumed}});
+            rig.upstreams.front()->scriptedResponses.front().onSent = [&rig, resumed]() {
+                rig.upstreams.back()->scriptedResponses = {{resumed}};
+            };
+            rig.upstreams.back()->scriptedResponses.front().onSent = [&rig, resumed]() {
+                rig.upstreams.front()->scriptedResponses = {{resumed}};
+            };
+            const std::string answer = rig.exchange(clientRequest("/stream/"));
+            std::size_t at = 0;
+            for (const char *event : {"data: first", "id: 1\n", "data: note", "id: 2\n", "data: done"}) {
+                const std::size_t found = answer.find(event, at);
+                CPPUNIT_ASSERT_MESSAGE(event + answer, found != std::string::npos);
+                CPPUNIT_ASSERT_MESSAGE(event + answer, answer.find(event, found + 1) == std::string::npos);
+                at = found;
+            }
+            CPPUNIT_ASSERT(answer.ends_with("0\r\n\r\n"));
+        }
+    }
+
     void anErrorAfterAStreamHasBegunDoesNotReachTheClient()
     {
         for (const int status : {400, 404, 500, 503}) {
