--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(rejectedReadIsAFailure);
     CPPUNIT_TEST(malformedAnswersAreFailures);
     CPPUNIT_TEST(conflictCarriesTheCurrentRows);
+    CPPUNIT_TEST(malformedConflictIsReportedAsIndeterminate);
     CPPUNIT_TEST(rejectedWriteIsReportedAsNotSent);
     CPPUNIT_TEST(writeWithoutAnswerIsReportedAsIndeterminate);
     CPPUNIT_TEST(unansweredReadTimesOutAfterItsWait);
@@ -185,6 +186,19 @@
         CPPUNIT_ASSERT(sent.find(base64Encode("text")) != std::string::npos);
     }
 
+    // Guards against a conflict without rows, which means that the store has no such row.
+    void malformedConflictIsReportedAsIndeterminate()
+    {
+        for (const char *body : {"", "[]", "{}", R"({"rows":5})"}) {
+            StoreRig rig({{response(412, body)}});
+            const auto outcome = rig.run(rig.client.transact(transaction()));
+            CPPUNIT_ASSERT_MESSAGE(body, std::holds_alternative<TransactionIndeterminate>(outcome));
+        }
+        StoreRig rig({{response(412, R"({"rows":[],"ver":9,"now_ms":5})")}});
+        const auto outcome = rig.run(rig.client.transact(transaction()));
+        CPPUNIT_ASSERT(std::get<TransactionConflict>(outcome).rows.empty());
+    }
+
     void rejectedWriteIsReportedAsNotSent()
     {
         StoreRig rig({{response(503, "{}")}});
