Map hashes to values below 1

Clients saw: a request whose hash is among the highest 2^10 went to the first service of a split route instead of the last. Cause: the conversion of a 64-bit hash to double rounds, so that its quotient by 2^64 may be 1.0; RouteTable::chooseService() takes values below 1. Change: unitInterval() uses the upper 53 bits, which a double holds exactly. It replaces both divisions in forwardedrequest.cpp. Test: unit-ingress, theHighestHashChoosesTheLastService, failed with the old formula in unitInterval() and passes.

--- a/include/parsleyvane/membership/rendezvous.h
+++ b/include/parsleyvane/membership/rendezvous.h
@@ -20,6 +20,9 @@
  */
 std::uint64_t rendezvousWeight(std::string_view purpose, std::string_view candidate, std::uint64_t salt = 0) noexcept;
 
+/// @brief Maps a hash evenly to [0, 1); the result is never 1, as a division of all 64 bits may round to it.
+double unitInterval(std::uint64_t hash) noexcept;
+
 /**
  * @brief The `count` candidates with the highest weights, in descending order. Complexity: n log count.
  *
--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -28,6 +28,15 @@
     return XXH64(candidate.data(), candidate.size(), seed);
 }
 
+double unitInterval(std::uint64_t hash) noexcept
+{
+    // A double holds 53 bits exactly; the conversion of more bits may round up.
+    constexpr unsigned exactBits = 53;
+    constexpr unsigned hashBits = 64;
+    constexpr double range = static_cast<double>(std::uint64_t{1} << exactBits);
+    return static_cast<double>(hash >> (hashBits - exactBits)) / range;
+}
+
 std::vector<std::string> chooseByRendezvous(std::string_view purpose, const std::vector<std::string> &candidates,
                                             std::size_t count, std::uint64_t salt)
 {
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -110,8 +110,7 @@
         return reason.failure();
     }
     this->facts = std::move(*read);
-    constexpr double range = 18446744073709551616.0;
-    this->shareSample = static_cast<double>(rendezvousWeight("request", this->facts.id.str())) / range;
+    this->shareSample = unitInterval(rendezvousWeight("request", this->facts.id.str()));
     const HttpRequest &request = this->exchange.request();
     std::vector<std::string_view> sharedParts;
     for (std::size_t part = 0; part + 1 < this->facts.prompt.size(); ++part) {
@@ -483,8 +482,7 @@
 {
     // Some requests of each kind compete as the most urgent, so that none starves under a lasting limit.
     constexpr double exemptFraction = 0.25;
-    constexpr double range = 18446744073709551616.0;
-    const double sample = static_cast<double>(rendezvousWeight("limit", this->facts.id.str())) / range;
+    const double sample = unitInterval(rendezvousWeight("limit", this->facts.id.str()));
     return sample < exemptFraction ? 0 : this->rank();
 }
 
--- a/tests/unit-ingress.cpp
+++ b/tests/unit-ingress.cpp
@@ -7,6 +7,9 @@
 #include "parsleyvane/ingress/sizechoice.h"
 #include "parsleyvane/ingress/upstreamchoice.h"
 #include "parsleyvane/ingress/upstreamlist.h"
+#include "parsleyvane/membership/rendezvous.h"
+
+#include <limits>
 
 namespace parsleyvane {
 
@@ -51,6 +54,7 @@
     CPPUNIT_TEST_SUITE(IngressTest);
     CPPUNIT_TEST(theRouteWithTheLongestMatchingPrefixIsFound);
     CPPUNIT_TEST(servicesAreChosenByWeight);
+    CPPUNIT_TEST(theHighestHashChoosesTheLastService);
     CPPUNIT_TEST(aRouteWithoutServiceIsIgnored);
     CPPUNIT_TEST(anEntryThatLapsesAfterAStoreOutageIsKeptForTheGracePeriod);
     CPPUNIT_TEST(anEntryThatIsRemovedWithoutAStoreOutageIsRemovedAtOnce);
@@ -103,6 +107,18 @@
         CPPUNIT_ASSERT_EQUAL(std::string("two"), RouteTable::chooseService(split, 0.91).str());
     }
 
+    // Guards against a request whose hash rounds to 1.0 and which therefore gets the first service, whatever its
+    // weight.
+    void theHighestHashChoosesTheLastService()
+    {
+        const RouteRule split = route("/a/", {{ServiceName("one"), 90}, {ServiceName("two"), 10}});
+        const double sample = unitInterval(std::numeric_limits<std::uint64_t>::max());
+        CPPUNIT_ASSERT(sample < 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), RouteTable::chooseService(split, sample).str());
+        CPPUNIT_ASSERT_EQUAL(0.0, unitInterval(0));
+        CPPUNIT_ASSERT_EQUAL(0.5, unitInterval(std::uint64_t{1} << 63U));
+    }
+
     void aRouteWithoutServiceIsIgnored()
     {
         RouteTable table{Revision(1)};
