Report at most 20 unreadable lines of an INI file

Operators saw: 21 reports of unreadable lines, although the limit is 20. Cause: the last pass of parseLines(), which reads the entries after the 20th line was removed, reported the next unreadable line as well. Change: the last pass only reads. Test: unit-settings, reportsAtMostTwentyUnreadableLines, failed before (21 reports) and passes.

--- a/src/core/ini.cpp
+++ b/src/core/ini.cpp
@@ -92,7 +92,7 @@
         entries.clear();
         const int badLine = ini_parse_string(joinLines(lines).c_str(), collectEntry, &entries);
         const auto index = static_cast<std::size_t>(badLine) - 1;
-        if (badLine <= 0 || index >= lines.size()) {
+        if (badLine <= 0 || index >= lines.size() || attempt == maxUnreadableLines) {
             break;
         }
         problems.push_back(lineProblem(fileName, index, lines[index], "[section], key = value, or a comment"));
--- a/tests/unit-settings.cpp
+++ b/tests/unit-settings.cpp
@@ -1,6 +1,7 @@
 #include "sourcefile.h"
 #include "suite.h"
 
+#include "parsleyvane/config/ini.h"
 #include "parsleyvane/config/settings.h"
 
 #include <algorithm>
@@ -43,6 +44,7 @@
     CPPUNIT_TEST(hedgingIsOffUnlessAShareIsSet);
     CPPUNIT_TEST(reportsAllProblemsAtOnce);
     CPPUNIT_TEST(reportsUnreadableLines);
+    CPPUNIT_TEST(reportsAtMostTwentyUnreadableLines);
     CPPUNIT_TEST(checksOverridesLikeFileValues);
     CPPUNIT_TEST(admissionControlIsOffByDefault);
     CPPUNIT_TEST(replicasAreByLengthUnlessTheFileSaysByDemand);
@@ -130,6 +132,20 @@
         CPPUNIT_ASSERT(hasProblem(problems, "", "line 16", "id = xxx"));
     }
 
+    // Guards against one report too many, and against losing the lines after the last one reported.
+    void reportsAtMostTwentyUnreadableLines()
+    {
+        constexpr std::size_t maxReports = 20;
+        std::string text = "[s]\n";
+        for (std::size_t line = 1; line <= maxReports + 2; ++line) {
+            text += "no value here\n";
+            std::vector<SettingProblem> problems;
+            const auto entries = readIni(text + "key = value\n", "f.ini", problems);
+            CPPUNIT_ASSERT_EQUAL(std::min(line, maxReports), problems.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, entries.size());
+        }
+    }
+
     void checksOverridesLikeFileValues()
     {
         std::vector<SettingProblem> problems;
