--- a/include/parsleyvane/stream/eventparser.h
+++ b/include/parsleyvane/stream/eventparser.h
@@ -31,7 +31,7 @@
     /**
      * @brief Parses the next bytes, which may end anywhere in a line. Complexity: linear.
      * @return the payloads of the lines completed by these bytes
-     * @param reason BadUpstreamData when an incomplete line exceeds the size limit
+     * @param reason BadUpstreamData when a line exceeds the size limit
      */
     std::optional<std::vector<std::string>> feed(std::string_view bytes, LastReason &reason);
 
--- a/src/core/eventparser.cpp
+++ b/src/core/eventparser.cpp
@@ -12,13 +12,14 @@
     std::vector<std::string> payloads;
     this->unparsedBytes.append(bytes);
     std::size_t begin = 0;
-    for (std::size_t end = this->unparsedBytes.find('\n'); end != std::string::npos;
-         end = this->unparsedBytes.find('\n', begin)) {
+    std::size_t end = this->unparsedBytes.find('\n');
+    for (; end != std::string::npos && end - begin <= this->maxLineBytes; end = this->unparsedBytes.find('\n', begin)) {
         this->parseLine(std::string_view(this->unparsedBytes).substr(begin, end - begin), payloads);
         begin = end + 1;
     }
     this->unparsedBytes.erase(0, begin);
-    if (this->unparsedBytes.size() > this->maxLineBytes) {
+    // A complete line is left only when it is too long.
+    if (end != std::string::npos || this->unparsedBytes.size() > this->maxLineBytes) {
         return reason.fail({.id = ErrorId::BadUpstreamData,
                             .step = Step::Answer,
                             .runState = RunState::Unknown,
--- a/tests/unit-parsers.cpp
+++ b/tests/unit-parsers.cpp
@@ -5,6 +5,7 @@
 #include "parsleyvane/ledger/runonce.h"
 #include "parsleyvane/session/token.h"
 #include "parsleyvane/stream/assembler.h"
+#include "parsleyvane/stream/eventparser.h"
 
 namespace parsleyvane {
 
@@ -123,6 +124,7 @@
     CPPUNIT_TEST(configurationSurvivesSerialisation);
     CPPUNIT_TEST(arbitraryBytesAsATokenAreRefused);
     CPPUNIT_TEST(hexadecimalSurvivesEncoding);
+    CPPUNIT_TEST(aLineOverTheLimitIsRefusedHoweverItArrives);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -252,6 +254,32 @@
             }
         });
     }
+
+    // Guards against a limit that applies only to lines which arrive in pieces.
+    void aLineOverTheLimitIsRefusedHoweverItArrives()
+    {
+        constexpr std::size_t maxLineBytes = 10;
+        const auto feed = [](std::initializer_list<std::string> pieces) {
+            EventParser parser(maxLineBytes);
+            LastReason reason;
+            std::size_t payloads = 0;
+            for (const std::string &piece : pieces) {
+                const auto parsed = parser.feed(piece, reason);
+                if (!parsed) {
+                    CPPUNIT_ASSERT(reason.failure().id == ErrorId::BadUpstreamData);
+                    return std::optional<std::size_t>();
+                }
+                payloads += parsed->size();
+            }
+            return std::optional(payloads);
+        };
+        CPPUNIT_ASSERT(feed({"data: 1234\ndata: 1\n"}) == std::size_t{2});
+        CPPUNIT_ASSERT(feed({"data: 12", "34\n"}) == std::size_t{1});
+        CPPUNIT_ASSERT(!feed({"data: 12345"}));
+        CPPUNIT_ASSERT(!feed({"data: 12345\n"}));
+        CPPUNIT_ASSERT(!feed({"data: 1\ndata: 12345\ndata: 1\n"}));
+        CPPUNIT_ASSERT(!feed({"data: 12", "345\n"}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ParsersTest);
