Name the status when there is no rating

Operators saw: "no rating: " without a cause, when the rating service answered with another status than 200. Cause: PlatformClient::rate() reported the failure of the call, which there is none of in this case. Change: it reports the status, as readRow() and transact() do. Test: unit-net-platform, missingRatingIsReportedWithItsCause, failed before and passes.

--- a/src/net/platformclient.cpp
+++ b/src/net/platformclient.cpp
@@ -152,9 +152,12 @@
     auto request = makeRequest(http::verb::post, "/ratings", body.dump(-1, ' ', false, Json::error_handler_t::replace));
     const auto response
         = co_await httpCall(platformName, this->endpoint, std::move(request), this->limits, progress, cause);
-    if (!response || response->result_int() != statusOk) {
+    if (!response) {
         co_return reason.fail(unavailable("no rating: " + cause.failure().detail));
     }
+    if (response->result_int() != statusOk) {
+        co_return reason.fail(unavailable("no rating: status " + std::to_string(response->result_int())));
+    }
     const Json json = Json::parse(response->body(), nullptr, false);
     if (!json.is_object() || !json.contains("passed") || !json.at("passed").is_boolean()) {
         co_return reason.fail(unavailable("malformed rating"));
--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -4,6 +4,7 @@
 
 #include "parsleyvane/core/textcodec.h"
 #include "parsleyvane/net/endpoint.h"
+#include "parsleyvane/net/platformclient.h"
 
 namespace parsleyvane {
 
@@ -72,6 +73,7 @@
     CPPUNIT_TEST(malformedAnswersAreFailures);
     CPPUNIT_TEST(conflictCarriesTheCurrentRows);
     CPPUNIT_TEST(malformedConflictIsReportedAsIndeterminate);
+    CPPUNIT_TEST(missingRatingIsReportedWithItsCause);
     CPPUNIT_TEST(rejectedWriteIsReportedAsNotSent);
     CPPUNIT_TEST(writeWithoutAnswerIsReportedAsIndeterminate);
     CPPUNIT_TEST(unansweredReadTimesOutAfterItsWait);
@@ -199,6 +201,20 @@
         CPPUNIT_ASSERT(std::get<TransactionConflict>(outcome).rows.empty());
     }
 
+    // Guards against a failure that does not say with which status the service answered.
+    void missingRatingIsReportedWithItsCause()
+    {
+        const auto rate = [](const ScriptedResponse &scripted) {
+            StoreRig rig({scripted});
+            const PlatformClient ratings(rig.endpoint());
+            LastReason reason;
+            CPPUNIT_ASSERT(!rig.run(ratings.rate(AccountId("a"), TaskName("t"), "question", "answer", reason)));
+            return reason.failure().detail;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("no rating: status 503"), rate({response(503, "{}")}));
+        CPPUNIT_ASSERT(rate({""}).starts_with("no rating: ") && rate({""}) != "no rating: ");
+    }
+
     void rejectedWriteIsReportedAsNotSent()
     {
         StoreRig rig({{response(503, "{}")}});
