Ask with the defaults and bounds of the answers file

Operators saw: an interview that refused values which the answers file accepts (in-flight and max-tokens over 4096, less than one request per second), and that entered "no" for checks-fence where the file's default is yes. Cause: the interview had its own bounds and default. Change: both use the constants in answersection.h; the default is yes, as docs/CONFIGURATION.md says. Test: unit-questionnaire, theInterviewAcceptsTheSameAsTheAnswersFile, failed before (0.001 requests per second refused) and passes.

--- a/include/parsleyvane/config/answersection.h
+++ b/include/parsleyvane/config/answersection.h
@@ -17,6 +17,12 @@
 
 namespace parsleyvane {
 
+// Bounds of answers, for the answers file and the interview.
+inline constexpr double minRequestsPerSecond = 0.001;
+inline constexpr double maxRequestsPerSecond = 1e6;
+inline constexpr unsigned maxInFlight = 100000;
+inline constexpr unsigned maxTokensLimit = 1U << 20U;
+
 /**
  * @brief The answers under one heading such as `[engine engine-1]`.
  *
--- a/src/core/answersreader.cpp
+++ b/src/core/answersreader.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-constexpr double maxRequestsPerSecond = 1e6;
-constexpr unsigned maxInFlight = 100000;
-constexpr unsigned maxTokensLimit = 1U << 20U;
 constexpr unsigned maxSlots = 4096;
 constexpr unsigned maxWeight = 1000000;
 constexpr std::int64_t maxCost = std::int64_t{1} << 50U;
@@ -96,8 +93,8 @@
     account.keyHashes = readKeyHashes(section);
     account.allowed = section.versions("allowed");
     const AccountLimits limits;
-    account.limits.requestsPerSecond
-        = section.number("requests-per-second", 0.001, maxRequestsPerSecond).value_or(limits.requestsPerSecond);
+    account.limits.requestsPerSecond = section.number("requests-per-second", minRequestsPerSecond, maxRequestsPerSecond)
+                                           .value_or(limits.requestsPerSecond);
     account.limits.burst = section.number("burst", 1.0, maxRequestsPerSecond).value_or(limits.burst);
     account.limits.inFlight = section.number("in-flight", 1U, maxInFlight).value_or(limits.inFlight);
     account.priority.bought = section.boolean("priority", false);
--- a/src/core/interview.cpp
+++ b/src/core/interview.cpp
@@ -1,5 +1,6 @@
 #include "parsleyvane/config/interview.h"
 
+#include "parsleyvane/config/answersection.h"
 #include "parsleyvane/config/textvalues.h"
 
 #include <algorithm>
@@ -62,7 +63,22 @@
 
 bool isRate(const std::string &value)
 {
-    return readNumber(value, 1.0, 1e6).has_value();
+    return readNumber(value, minRequestsPerSecond, maxRequestsPerSecond).has_value();
+}
+
+bool isBurst(const std::string &value)
+{
+    return readNumber(value, 1.0, maxRequestsPerSecond).has_value();
+}
+
+bool isInFlight(const std::string &value)
+{
+    return readNumber(value, 1U, maxInFlight).has_value();
+}
+
+bool isTokenCount(const std::string &value)
+{
+    return readNumber(value, 1U, maxTokensLimit).has_value();
 }
 
 bool isCount(const std::string &value)
@@ -120,9 +136,9 @@
     {"allowed", "Which models and versions may answer it?", "", versionsRule, isVersionList},
     {"cost-weight", "How much does cost weigh against latency, 0 (latency only) to 1 (cost only)?", "0.5", shareRule,
      isShare},
-    {"requests-per-second", "How many requests a second may it send?", "50", "a number from 1 to 1000000", isRate},
-    {"burst", "How many requests may it send in one burst?", "100", "a number from 1 to 1000000", isRate},
-    {"in-flight", "How many may be in progress at the same time?", "64", "a whole number from 1 to 4096", isCount},
+    {"requests-per-second", "How many requests a second may it send?", "50", "a number from 0.001 to 1000000", isRate},
+    {"burst", "How many requests may it send in one burst?", "100", "a number from 1 to 1000000", isBurst},
+    {"in-flight", "How many may be in progress at the same time?", "64", "a whole number from 1 to 100000", isInFlight},
     {"priority", "Has it bought priority?", "no", yesNoRule, isYesOrNo},
     {"priority-share", "Which share of capacity may a priority claim use?", "0.2", shareRule, isShare},
 };
@@ -139,7 +155,7 @@
     {"quality-target", "Which share of the answers must be good?", "0.9", shareRule, isShare},
     {"resumable", "May an answer in progress be interrupted for a priority request and resumed later?", "no", yesNoRule,
      isYesOrNo},
-    {"max-tokens", "How long may an answer be, in tokens?", "256", "a whole number from 1 to 4096", isCount},
+    {"max-tokens", "How long may an answer be, in tokens?", "256", "a whole number from 1 to 1048576", isTokenCount},
 };
 
 constexpr Question serviceWorkQuestions[] = {
@@ -160,7 +176,7 @@
     {"zone", "Its availability zone?", "", nameRule, isName},
     {"loads", "Which models and versions does it load?", "", versionsRule, isVersionList},
     {"slots", "How many requests does it run concurrently?", "8", "a whole number from 1 to 4096", isCount},
-    {"checks-fence", "Does it reject orders with an outdated fencing token?", "no", yesNoRule, isYesOrNo},
+    {"checks-fence", "Does it reject orders with an outdated fencing token?", "yes", yesNoRule, isYesOrNo},
 };
 
 constexpr Question serviceQuestions[] = {
--- a/tests/unit-questionnaire.cpp
+++ b/tests/unit-questionnaire.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(amendingKeepsWithdrawals);
     CPPUNIT_TEST(reportsAllProblemsAtOnce);
     CPPUNIT_TEST(repeatsAQuestionUntilTheAnswerIsAllowed);
+    CPPUNIT_TEST(theInterviewAcceptsTheSameAsTheAnswersFile);
     CPPUNIT_TEST(roundTripsThroughIni);
     CPPUNIT_TEST(amendingChangesOneOrganisationOnly);
     CPPUNIT_TEST(readsOrReportsArbitraryBytes);
@@ -164,6 +165,24 @@
         CPPUNIT_ASSERT(reason.failure().id == ErrorId::InvalidSetting);
     }
 
+    // Guards against an interview with other bounds or another default than the answers file.
+    void theInterviewAcceptsTheSameAsTheAnswersFile()
+    {
+        const std::string account = "web\nk1\nwattle@3\n\n0.001\n\n100000\n\n\n";
+        const std::string task = "ask\n\nwattle\n\n\n1048576\nweb\n\n\n";
+        const std::string engine = "e1\n127.0.0.1:9001\na\nwattle@3\n\n\n";
+        std::istringstream input("acme\n" + account + "\n" + task + "\n\n" + engine + "\n\n");
+        std::ostringstream output;
+        LastReason reason;
+        const auto answers = interview(input, output, reason);
+        CPPUNIT_ASSERT_MESSAGE(output.str(), answers && answers->accounts.size() == 1);
+        const Account &web = answers->accounts.front();
+        CPPUNIT_ASSERT_EQUAL(100000U, web.limits.inFlight);
+        CPPUNIT_ASSERT_EQUAL(0.001, web.limits.requestsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(1U << 20U, std::get<ModelTask>(web.tasks.front().work).maxTokens);
+        CPPUNIT_ASSERT(std::get<Engine>(answers->upstreams.front().kind).checksFence);
+    }
+
     void roundTripsThroughIni()
     {
         test::property("answers read back the same", [] {
