--- a/tests/unit-net-platform.cpp
+++ b/tests/unit-net-platform.cpp
@@ -4,6 +4,7 @@
 
 #include "parsleyvane/core/textcodec.h"
 #include "parsleyvane/net/endpoint.h"
+#include "parsleyvane/net/platformclient.h"
 
 namespace parsleyvane {
 
@@ -71,6 +72,8 @@
     CPPUNIT_TEST(rejectedReadIsAFailure);
     CPPUNIT_TEST(malformedAnswersAreFailures);
     CPPUNIT_TEST(conflictCarriesTheCurrentRows);
+    CPPUNIT_TEST(malformedConflictIsReportedAsIndeterminate);
+    CPPUNIT_TEST(missingRatingIsReportedWithItsCause);
     CPPUNIT_TEST(rejectedWriteIsReportedAsNotSent);
     CPPUNIT_TEST(writeWithoutAnswerIsReportedAsIndeterminate);
     CPPUNIT_TEST(unansweredReadTimesOutAfterItsWait);
@@ -185,6 +188,33 @@
         CPPUNIT_ASSERT(sent.find(base64Encode("text")) != std::string::npos);
     }
 
+    // Guards against a conflict without rows, which means that the store has no such row.
+    void malformedConflictIsReportedAsIndeterminate()
+    {
+        for (const char *body : {"", "[]", "{}", R"({"rows":5})"}) {
+            StoreRig rig({{response(412, body)}});
+            const auto outcome = rig.run(rig.client.transact(transaction()));
+            CPPUNIT_ASSERT_MESSAGE(body, std::holds_alternative<TransactionIndeterminate>(outcome));
+        }
+        StoreRig rig({{response(412, R"({"rows":[],"ver":9,"now_ms":5})")}});
+        const auto outcome = rig.run(rig.client.transact(transaction()));
+        CPPUNIT_ASSERT(std::get<TransactionConflict>(outcome).rows.empty());
+    }
+
+    // Guards against a failure that does not say with which status the service answered.
+    void missingRatingIsReportedWithItsCause()
+    {
+        const auto rate = [](const ScriptedResponse &scripted) {
+            StoreRig rig({scripted});
+            const PlatformClient ratings(rig.endpoint());
+            LastReason reason;
+            CPPUNIT_ASSERT(!rig.run(ratings.rate(AccountId("a"), TaskName("t"), "question", "answer", reason)));
+            return reason.failure().detail;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("no rating: status 503"), rate({response(503, "{}")}));
+        CPPUNIT_ASSERT(rate({""}).starts_with("no rating: ") && rate({""}) != "no rating: ");
+    }
+
     void rejectedWriteIsReportedAsNotSent()
     {
         StoreRig rig({{response(503, "{}")}});
