Keep excluding a version that was rolled back

Cause: VersionShift::onOrder() dropped the state of the order before, and allows() takes every version but the ordered one for the predecessor. Change: VersionShift keeps the outcome of the latest order of each version (at most 64). A version whose latest order was rolled back, or that this instance found bad while that order was running, is not allowed as predecessor. A new order of the version, or its completion, ends this. Statuses that arrive after the next order, or before their own order, count. Opposite error: a return to the version before the roll-back left no allowed upstream until the start was agreed, so that all requests were refused with 503. The ordered version now serves at once if it is the only one left. Ruled out: a status that arrives late after the version was ordered again or completed does not exclude it. Tests: four in unit-versionshift; two of them failed before the change, the other two guard against the opposite error. One in unit-net-forward, which fails without the return rule. Not covered: an instance that starts after the status of the next order has replaced the row does not learn of the roll-back.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -108,6 +108,8 @@
     Milliseconds waitOrHandOver(const UpstreamEntry &silent);
     /// Whether a stream that has begun is resumed at the version that began it, as the share of the other one grows.
     bool keepsVersion(const VersionShift &shift) const;
+    /// Whether the ordered version is the only one that is not excluded: a return to the version before a roll-back.
+    bool isOnlyOrderedVersionLeft(const VersionShift &shift) const;
     std::optional<Target> chooseTarget(UpstreamRequirements requirements);
     /// Chooses an upstream, and takes what it needs for one request to it from the limits.
     std::optional<Target> choosePermitted(UpstreamRequirements requirements);
--- a/include/parsleyvane/ingress/versionshift.h
+++ b/include/parsleyvane/ingress/versionshift.h
@@ -111,6 +111,9 @@
  * for the first half of the order's duration, since the session may have begun there at another instance. After that
  * the candidate gets the sessions whose hash is below its share. The share never decreases, so no instance moves a
  * session back.
+ *
+ * A version that was rolled back gets no requests under later orders either, until it is ordered again: its upstreams
+ * may still be registered then, and would count as those of the predecessor.
  */
 class VersionShift
 {
@@ -126,7 +129,8 @@
     /// number now, and the one before it may be in its place until the operator has written it again.
     /// @return whether it is a new order
     bool onRestoredOrder(const RolloutOrder &restored);
-    /// @brief Applies the agreed state; one of an older order is ignored, and so is one that takes back a decision.
+    /// @brief Applies the agreed state; one that takes back a decision is ignored. One of an older order only decides
+    /// whether that order's version may serve as predecessor.
     /// @param startedAt start of the roll-out by this instance's clock
     void onStatus(const RolloutStatus &newStatus, TimePoint startedAt);
     /// @brief Chooses the version for a request and remembers it for the session.
@@ -176,6 +180,9 @@
     /// @brief Whether an upstream of this version may serve a request; always true without an order.
     /// @param candidate whether routesToCandidate() assigned the request to the new version
     bool allows(const VersionName &version, bool candidate) const;
+    /// @brief Whether a version is excluded because its latest order was rolled back. Complexity: linear in the
+    /// versions that were ordered.
+    bool excludesVersions() const;
     /// @brief Whether it is the version that the current order rolls out. An attempt may have been sent under an
     /// earlier order, or none.
     bool isCandidate(const VersionName &version) const noexcept
@@ -208,7 +215,16 @@
         TimePoint lastRequestAt{};
     };
 
+    /// The latest order of a version, with the agreed state.
+    struct VersionOutcome
+    {
+        std::uint64_t order = 0; ///< RolloutOrder::number
+        RolloutState state = RolloutState::Running;
+    };
+
     double candidateShare(TimePoint now) const;
+    void recordOutcome(const VersionName &version, const VersionOutcome &outcome);
+    bool isRolledBack(const VersionName &version) const;
     std::optional<std::string> evaluateAnswers(const std::map<RouteName, RouteAnswers> &routes);
     bool hasLatencyEvidence() const noexcept;
     void addSample(PaceTest &test, bool candidate, const std::string &kind, Milliseconds took, TimePoint sentAt);
@@ -218,6 +234,7 @@
     ShiftLimits limits;
     std::optional<RolloutOrder> current;
     std::optional<RolloutOrder> previous;
+    std::map<VersionName, VersionOutcome> outcomes; ///< also of earlier orders
     std::optional<RolloutStatus> status;
     TimePoint startedAt{};
     std::map<std::string, SessionPlacement> sessions;
--- a/src/core/ingress/versionshift.cpp
+++ b/src/core/ingress/versionshift.cpp
@@ -125,7 +125,13 @@
     if (this->current == newOrder) {
         return false;
     }
+    if (this->bad && this->state() == RolloutState::Running) {
+        // This instance has stopped sending requests to the version; others may have found it bad too.
+        this->recordOutcome(this->current->to, {this->current->number, RolloutState::RolledBack});
+    }
     this->previous = std::exchange(this->current, newOrder);
+    // Replaces the outcome of a higher number too: numbers may be lower after the store was restored from a copy.
+    this->outcomes[newOrder.to] = {.order = newOrder.number};
     this->ownAnswers.clear();
     this->otherReports.clear();
     this->firstEventTest.restart();
@@ -137,6 +143,9 @@
     if (this->status && this->status->order != newOrder.number) {
         this->status.reset();
     }
+    if (this->status) {
+        this->recordOutcome(newOrder.to, {newOrder.number, this->status->state});
+    }
     return true;
 }
 
@@ -154,11 +163,13 @@
         this->status->order = restored.number;
     }
     this->current->number = restored.number;
+    this->outcomes[restored.to].order = restored.number;
     return false;
 }
 
 void VersionShift::onStatus(const RolloutStatus &newStatus, TimePoint started)
 {
+    this->recordOutcome(newStatus.to, {newStatus.order, newStatus.state});
     if (this->current && newStatus.order < this->current->number) {
         return;
     }
@@ -170,6 +181,36 @@
     this->startedAt = started;
 }
 
+void VersionShift::recordOutcome(const VersionName &version, const VersionOutcome &outcome)
+{
+    constexpr std::size_t maxOutcomes = 64;
+    const auto [known, isNew] = this->outcomes.try_emplace(version, outcome);
+    const auto rank = [](const VersionOutcome &entry) {
+        return std::pair(entry.order, finality(entry.state));
+    };
+    if (!isNew && rank(outcome) > rank(known->second)) {
+        known->second = outcome;
+    }
+    if (this->outcomes.size() > maxOutcomes) {
+        this->outcomes.erase(
+            std::min_element(this->outcomes.begin(), this->outcomes.end(),
+                             [&](const auto &a, const auto &b) { return rank(a.second) < rank(b.second); }));
+    }
+}
+
+bool VersionShift::isRolledBack(const VersionName &version) const
+{
+    const auto known = this->outcomes.find(version);
+    return known != this->outcomes.end() && known->second.state == RolloutState::RolledBack;
+}
+
+bool VersionShift::excludesVersions() const
+{
+    return std::any_of(this->outcomes.begin(), this->outcomes.end(), [this](const auto &entry) {
+        return entry.second.state == RolloutState::RolledBack && !this->isCandidate(entry.first);
+    });
+}
+
 bool VersionShift::isRecordedBy(const RolloutStatus &recorded) const
 {
     return this->current && recorded.order == this->current->number
@@ -204,7 +245,10 @@
     if (!this->current) {
         return true;
     }
-    return (version == this->current->to) == candidate;
+    if (version == this->current->to) {
+        return candidate;
+    }
+    return !candidate && !this->isRolledBack(version);
 }
 
 std::optional<double> VersionShift::progress(TimePoint now) const
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -302,6 +302,18 @@
     return this->exchange.answered() && shift.state() == RolloutState::Running && !shift.isBad();
 }
 
+bool ForwardedRequest::isOnlyOrderedVersionLeft(const VersionShift &shift) const
+{
+    if (!shift.excludesVersions()) {
+        return false;
+    }
+    bool isOtherLeft = false;
+    this->context.fleetView.upstreams.forEachUsable(this->service(), [&](const RegisteredUpstream &upstream) {
+        isOtherLeft = isOtherLeft || shift.allows(upstream.entry.version, false);
+    });
+    return !isOtherLeft;
+}
+
 void ForwardedRequest::setReplicas(UpstreamRequirements &requirements, TimePoint now)
 {
     const std::string &affinity = requirements.affinity;
@@ -363,7 +375,7 @@
     this->setReplicas(requirements, now);
     auto entry = chooseUpstream(upstreams, requirements, now, this->context.random);
     const bool mayChange = shift.state() != RolloutState::RolledBack && !shift.isBad();
-    if (!entry && (usesCandidate || mayChange) && shift.state()) {
+    if (!entry && (usesCandidate || mayChange) && (shift.state() || this->isOnlyOrderedVersionLeft(shift))) {
         usesCandidate = !usesCandidate;
         entry = chooseUpstream(upstreams, requirements, now, this->context.random);
     }
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(aLateFirstEventIsEvidenceOfASlowVersion);
     CPPUNIT_TEST(aRunOnceServerErrorIsCountedAsBad);
     CPPUNIT_TEST(anAnswerUnderAnEarlierOrderIsNoEvidenceAboutTheNextVersion);
+    CPPUNIT_TEST(aReturnToTheVersionBeforeARollBackIsServedAtOnce);
     CPPUNIT_TEST(anOrderThatArrivesBeforeTheFirstByteIsFollowed);
     CPPUNIT_TEST(aRollBackThatArrivesBeforeTheFirstByteIsFollowed);
     CPPUNIT_TEST(aStreamIsResumedAtTheVersionThatBeganIt);
@@ -411,6 +412,21 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, answers.predecessor.bad);
     }
 
+    /// Guards against refusing all requests until the start is agreed: the version that was rolled back gets none.
+    void aReturnToTheVersionBeforeARollBackIsServedAtOnce()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        VersionShift &shift = rig.rollOut();
+        const ServiceName service("s");
+        shift.onStatus({.service = service, .to = VersionName("v2"), .state = RolloutState::RolledBack, .order = 1},
+                       bootClockNow());
+        shift.onOrder({.service = service, .to = VersionName("v1"), .duration = Milliseconds(10000), .number = 2});
+        rig.upstream("bad", {{upstreamAnswer(200, "rolled back")}}, "v2");
+        rig.upstream("good", {{upstreamAnswer(200, "before")}});
+        CPPUNIT_ASSERT(contains(rig.exchange(clientRequest("/once/x")), "before"));
+    }
+
     /// Runs the action once, when the connection to the first upstream is being opened.
     static void whileConnecting(ForwardRig &rig, std::function<void()> action)
     {
--- a/tests/unit-versionshift.cpp
+++ b/tests/unit-versionshift.cpp
@@ -81,6 +81,10 @@
     CPPUNIT_TEST(evidenceForASuspectedVersionIsReported);
     CPPUNIT_TEST(theAgreedOutcomeAppliesToEveryInstance);
     CPPUNIT_TEST(anOldStatusDoesNotApplyToANewOrder);
+    CPPUNIT_TEST(aRolledBackVersionGetsNoRequestsUnderTheNextOrder);
+    CPPUNIT_TEST(aRollBackThatIsReadAfterTheNextOrderCounts);
+    CPPUNIT_TEST(aVersionThatIsOrderedAgainServesAgain);
+    CPPUNIT_TEST(aCompletedVersionIsThePredecessorOfTheNextOrder);
     CPPUNIT_TEST(nothingIsReportedOnceTheRollOutHasEnded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -430,6 +434,76 @@
         CPPUNIT_ASSERT(!shift.state());
     }
 
+    static void order(VersionShift &shift, const VersionName &to, std::uint64_t number)
+    {
+        shift.onOrder({.service = service, .to = to, .duration = duration, .number = number});
+    }
+
+    static void decide(VersionShift &shift, const VersionName &to, RolloutState state, std::uint64_t number)
+    {
+        shift.onStatus({.service = service, .to = to, .state = state, .order = number}, start);
+    }
+
+    /// Guards against taking the version that was rolled back for the predecessor of the next one.
+    void aRolledBackVersionGetsNoRequestsUnderTheNextOrder()
+    {
+        VersionShift shift = running();
+        decide(shift, next, RolloutState::RolledBack, 7);
+        for (const std::uint64_t number : {9, 11}) {
+            order(shift, VersionName("v" + std::to_string(number)), number);
+            CPPUNIT_ASSERT(!shift.allows(next, false));
+            CPPUNIT_ASSERT(!shift.allows(next, true));
+            CPPUNIT_ASSERT(shift.allows(VersionName("v1"), false));
+        }
+    }
+
+    /// Orders and states are read from separate rows, in any order; a restarted instance knows no earlier order.
+    void aRollBackThatIsReadAfterTheNextOrderCounts()
+    {
+        VersionShift late = running();
+        order(late, VersionName("v3"), 9);
+        CPPUNIT_ASSERT(late.allows(next, false));
+        decide(late, next, RolloutState::RolledBack, 7);
+        CPPUNIT_ASSERT(!late.allows(next, false));
+        CPPUNIT_ASSERT(!late.state());
+        VersionShift restarted;
+        order(restarted, VersionName("v3"), 9);
+        decide(restarted, next, RolloutState::RolledBack, 7);
+        CPPUNIT_ASSERT(!restarted.allows(next, false));
+        VersionShift early = running();
+        decide(early, next, RolloutState::RolledBack, 7);
+        decide(early, VersionName("v3"), RolloutState::Running, 9);
+        order(early, VersionName("v3"), 9);
+        CPPUNIT_ASSERT(!early.allows(next, false));
+    }
+
+    /// Guards against the opposite error: a version that was mended and completed would get no requests.
+    void aVersionThatIsOrderedAgainServesAgain()
+    {
+        VersionShift shift = running();
+        decide(shift, next, RolloutState::RolledBack, 7);
+        order(shift, next, 9);
+        CPPUNIT_ASSERT(shift.allows(next, true));
+        decide(shift, next, RolloutState::RolledBack, 7);
+        decide(shift, next, RolloutState::Completed, 9);
+        CPPUNIT_ASSERT(shift.routesToCandidate("", 0.999, start));
+        order(shift, VersionName("v3"), 11);
+        decide(shift, next, RolloutState::RolledBack, 7);
+        CPPUNIT_ASSERT(shift.allows(next, false));
+    }
+
+    /// Of two decisions about one order, completion holds: then the upstreams of the old version stop.
+    void aCompletedVersionIsThePredecessorOfTheNextOrder()
+    {
+        VersionShift shift = running();
+        decide(shift, next, RolloutState::RolledBack, 7);
+        order(shift, VersionName("v3"), 9);
+        decide(shift, next, RolloutState::Completed, 7);
+        CPPUNIT_ASSERT(shift.allows(next, false));
+        decide(shift, next, RolloutState::RolledBack, 7);
+        CPPUNIT_ASSERT(shift.allows(next, false));
+    }
+
     void nothingIsReportedOnceTheRollOutHasEnded()
     {
         VersionShift shift = running();
