Count a crash right after the first event

Cause: the first event cleared the request's suspects at once, and a loss after it was not recorded as a crash. Change: a loss within 100 ms of the first event counts as a crash. The request is cleared by its first bytes after these 100 ms, or by its whole answer. The first event still shows that the process lives. Such a loss is logged as lost_after_first_event. Opposite errors: streams that are cut later, as by a stopping upstream, are still no crashes, so that they block no sound part of a prompt; a stream that is whole within 100 ms clears its request. A trial of a blocked part is decided up to 100 ms later. A stopping upstream that cuts a stream within the 100 ms counts as a crash now, as before the first event; the longer a stream, the rarer that is. Ruled out: the hedge's result is not mixed with the first attempt's events, since a hedge is cancelled and not recorded once the first attempt has one. Tests: three in unit-net-forward; the one for the fault failed before (200 for the fourth request, not 503), the other two guard against the opposite errors.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -177,6 +177,10 @@
     void recordLoad(const UpstreamEntry &target, AttemptResult result);
     /// The attempt's time, if it can be compared with others of its kind.
     AttemptSample answeredSample() const;
+    /// Whether the attempt has run so long after its first event that a loss is no crash that the request caused.
+    bool hasSurvived(TimePoint now) const;
+    /// Records that bytes of the attempt's stream were read, and once that the request has survived.
+    void recordSignOfLife(const UpstreamEntry &target);
     void recordCrash(const UpstreamEntry &target);
     void recordTrial(const UpstreamEntry &target);
     /// Records what an answer tells beside the answer: that the upstream leaves, or wants no requests for some time.
@@ -244,6 +248,7 @@
     bool isHedge = false; ///< the attempt in progress, or being recorded, is a hedge
     bool isTrial = false; ///< sent in spite of a blocked suspect, to find out whether the block still holds
     bool upstreamFailed = false; ///< this attempt's complete answer was a server error
+    bool isSurvivalRecorded = false; ///< this attempt cleared the request of crashes
     bool isEventLatencyRecorded = false; ///< the inter-event latency of this attempt was recorded
     std::optional<Target> nextTarget; ///< takes over from a silent upstream; the retry budget was charged for it
     bool clientDisconnected = false;
--- a/include/parsleyvane/ingress/crashledger.h
+++ b/include/parsleyvane/ingress/crashledger.h
@@ -28,7 +28,7 @@
 CrashSuspects crashSuspects(const std::vector<std::string_view> &sharedParts, std::string_view caller,
                             std::string_view body);
 
-/// @brief A crashed upstream process, and what it was running before its first event.
+/// @brief A crashed upstream process, and what it was running before or right after its first event.
 struct CrashReport
 {
     /// Upstream id and process start, so that crashes of two processes of one upstream count twice.
@@ -118,11 +118,12 @@
 /**
  * @brief Collects the crashes of upstream processes and blocks what they have in common.
  *
- * Each crash has a set of suspects: all that the process was running before its first event. A later answer to a
- * request that contains a suspect clears it. A sign of life from the process shows that only connections broke. The
- * suspect with the most crashes is blocked and explains them, so that what merely accompanied it isn't blocked too; of
- * several with as many crashes, the last in the request is blocked, as it is shared by the fewest requests. Reports of
- * other instances may be late, repeated or out of order. Complexity: logarithmic in the suspects unless said otherwise.
+ * Each crash has a set of suspects: all that the process was running before or right after its first event. A later
+ * answer to a request that contains a suspect clears it. A sign of life from the process shows that only connections
+ * broke. The suspect with the most crashes is blocked and explains them, so that what merely accompanied it isn't
+ * blocked too; of several with as many crashes, the last in the request is blocked, as it is shared by the fewest
+ * requests. Reports of other instances may be late, repeated or out of order. Complexity: logarithmic in the suspects
+ * unless said otherwise.
  *
  * A block keeps away the answers that could refute it, so a single request is sent as a trial from time to time. The
  * instances take turns in an order by the hash of their names, and publish when they have sent one.
@@ -146,12 +147,13 @@
     void onTrialSent(const CrashSuspects &suspects, TimePoint now);
     /// @brief Ends the reservation of beginTrial(), whether or not the request was sent.
     void endTrial(const CrashSuspects &suspects);
-    /// @brief Records that the connection broke before any event. Complexity: linear in the crashes.
+    /// @brief Records that the connection broke before any event, or right after the first one. Complexity: linear in
+    /// the crashes.
     /// @param site as in CrashReport
     void onLost(const CrashSuspects &suspects, const std::string &site, TimePoint now);
     /// @brief Records a sign of life from a process. Complexity: linear in the crashes when it refutes one.
     void onAlive(const std::string &site, TimePoint now);
-    /// @brief Records that a process has begun to answer. Complexity: linear in the crashes.
+    /// @brief Records that a process has answered, or has streamed for a while. Complexity: linear in the crashes.
     /// @return whether the others need to know: without this answer they might block one of the suspects
     bool onAnswered(const CrashSuspects &suspects, const std::string &site, TimePoint now);
     /// @brief Adds the evidence of other instances. Complexity: linear in the evidence; in the crashes and their
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -179,6 +179,7 @@
     AttemptResult result = AttemptResult::Unreachable;
     this->isConnectionReusable = false;
     this->events = 0;
+    this->isSurvivalRecorded = false;
     this->attemptLog.append(" ").append(target.id.str()).append(this->usesCandidate ? "/new" : "");
     if (!this->route().sizes.empty()) {
         this->attemptLog.append("/size").append(std::to_string(this->sizeIndex));
@@ -486,10 +487,8 @@
         this->updateLoadLevel(this->firstEventAt - this->sentAt);
         this->recordTimeToFirstEvent(this->firstEventAt);
         this->recordAcceptance();
-        this->recordSurvival(target);
-    } else {
-        this->context.fleetView.crashes.onAlive(processName(target), bootClockNow());
     }
+    this->recordSignOfLife(target);
     this->recordEventLatency();
     bool passed = false;
     if (!this->exchange.answered()) {
--- a/src/net/forward/forwardedhedge.cpp
+++ b/src/net/forward/forwardedhedge.cpp
@@ -307,6 +307,7 @@
     this->sentAt = hedge.sentAt;
     this->firstEventAt = TimePoint();
     this->events = 0;
+    this->isSurvivalRecorded = false;
     this->isEventLatencyRecorded = false;
     this->upstreamFailed = false;
     this->isConnectionReusable = hedge.answer.has_value();
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -22,7 +22,7 @@
     switch (result) {
     case AttemptResult::Delivered:
         upstreams.recordOutcome(target, UpstreamOutcome::Answered, now);
-        if (this->events == 0) {
+        if (!this->isSurvivalRecorded) {
             this->recordSurvival(target);
         }
         break;
@@ -37,6 +37,8 @@
         upstreams.recordOutcome(target, UpstreamOutcome::Lost, now);
         if (this->events == 0) {
             this->context.fleetView.coldUpstreams.onConnectionLost(target, now);
+        }
+        if (!this->hasSurvived(now)) {
             this->recordCrash(target);
         }
         break;
@@ -127,11 +129,30 @@
     return {.workKind = this->workKind + "/whole", .time = this->answeredAt - this->sentAt};
 }
 
+bool ForwardedRequest::hasSurvived(TimePoint now) const
+{
+    // A request may crash its upstream right after the first event. Streams that are cut later are mostly those of a
+    // stopping upstream; counted as crashes, they would block parts of prompts that do no harm.
+    constexpr Milliseconds survivalTime{100};
+    return this->events > 0 && now - this->firstEventAt >= survivalTime;
+}
+
+void ForwardedRequest::recordSignOfLife(const UpstreamEntry &target)
+{
+    const TimePoint now = bootClockNow();
+    if (!this->isSurvivalRecorded && this->hasSurvived(now)) {
+        this->recordSurvival(target);
+        return;
+    }
+    this->context.fleetView.crashes.onAlive(processName(target), now);
+}
+
 void ForwardedRequest::recordCrash(const UpstreamEntry &target)
 {
+    const char *event = this->events == 0 ? "lost_before_first_event" : "lost_after_first_event";
     this->context.fleetView.crashes.onLost(this->suspects, processName(target), bootClockNow());
-    this->context.metrics.countEvent("lost_before_first_event");
-    this->context.log.line("lost_before_first_event",
+    this->context.metrics.countEvent(event);
+    this->context.log.line(event,
                            {{"id", this->facts.id.str()},
                             {"upstream", processName(target)},
                             {"prompt", this->promptText()},
@@ -160,6 +181,7 @@
 
 void ForwardedRequest::recordSurvival(const UpstreamEntry &target)
 {
+    this->isSurvivalRecorded = true;
     const bool isNews = this->context.fleetView.crashes.onAnswered(this->suspects, processName(target), bootClockNow());
     if (isNews && this->context.evidenceChanged) {
         this->context.evidenceChanged();
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -86,6 +86,9 @@
     CPPUNIT_TEST(aClientDisconnectCancelsTheUpstreamCall);
     CPPUNIT_TEST(unknownPathsAndKeysAreRefused);
     CPPUNIT_TEST(aRequestThatCrashesUpstreamsIsQuarantined);
+    CPPUNIT_TEST(aRequestThatCrashesUpstreamsAfterItsFirstEventIsQuarantined);
+    CPPUNIT_TEST(streamsThatAreLostLaterAreNoCrashes);
+    CPPUNIT_TEST(aShortWholeStreamClearsItsRequest);
     CPPUNIT_TEST(withoutAConfigurationRequestsGetARetryAfter);
     CPPUNIT_TEST(aStoppingInstanceAcceptsOnlyRequestsThatEndInTime);
     CPPUNIT_TEST(anUpstreamThatSaysThatItLeavesGetsNoMoreRequests);
@@ -742,6 +745,54 @@
         CPPUNIT_ASSERT_EQUAL(before, dispatches(rig));
     }
 
+    /// Guards against a first event that clears the request which is about to crash the upstream.
+    void aRequestThatCrashesUpstreamsAfterItsFirstEventIsQuarantined()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Once, true);
+        for (const char *id : {"u", "v", "w", "x"}) {
+            rig.upstream(id, {{streamHead() + chunkedEvent(1)}});
+        }
+        for (int request = 0; request < 3; ++request) {
+            CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/stream/"))));
+        }
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(rig.exchange(clientRequest("/stream/"))));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, dispatches(rig));
+    }
+
+    /// Guards against the opposite error: streams that a stopping upstream cuts would block sound requests.
+    void streamsThatAreLostLaterAreNoCrashes()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Once, true);
+        for (const char *id : {"u", "v", "w", "x"}) {
+            rig.upstream(id,
+                         {{.answer = streamHead() + chunkedEvent(1),
+                           .rest = chunkedEvent(2),
+                           .pause = std::chrono::milliseconds(200)}});
+        }
+        for (int request = 0; request < 4; ++request) {
+            CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/stream/"))));
+        }
+        CPPUNIT_ASSERT(rig.context.fleetView.crashes.report().crashes.empty());
+    }
+
+    /// Guards against a block that stays although the request is answered: a short stream ends within the time in which
+    /// a loss would count as a crash.
+    void aShortWholeStreamClearsItsRequest()
+    {
+        ForwardRig rig;
+        rig.route("stream", Repeatability::Once, true);
+        const CrashSuspects suspects = crashSuspects({}, "\n/stream/", "hi");
+        for (const char *site : {"x@1", "y@1"}) {
+            rig.context.fleetView.crashes.onLost(suspects, site, bootClockNow() - Milliseconds(1));
+        }
+        rig.upstream("u", {{streamHead() + chunkedEvent(1) + "0\r\n\r\n"}});
+        CPPUNIT_ASSERT(rig.context.fleetView.crashes.isSuspected(suspects));
+        CPPUNIT_ASSERT_EQUAL(200, statusOf(rig.exchange(clientRequest("/stream/"))));
+        CPPUNIT_ASSERT(!rig.context.fleetView.crashes.isSuspected(suspects));
+    }
+
     void withoutAConfigurationRequestsGetARetryAfter()
     {
         ForwardRig rig;
