--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -446,7 +446,9 @@
     const TimePoint now = bootClockNow();
     if (const auto wanted = this->context.fleetView.upstreams.earliestWanted(this->service(), now)) {
         failure.detail = "no upstream wants requests now";
-        failure.retryAfter = *wanted - now;
+        // An upstream may wait for up to a day; another one may register much sooner.
+        constexpr Milliseconds maxRetryAfter{60000};
+        failure.retryAfter = std::min(*wanted - now, maxRetryAfter);
     } else if (const auto permitted = this->untilPermitted(now)) {
         failure.detail = "all upstreams are cold, evacuated or outside the allowed regions";
         failure.retryAfter = *permitted;
--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(aProcessThatReplacesALeavingOneGetsRequests);
     CPPUNIT_TEST(anUpstreamThatWantsNoRequestsGetsNone);
     CPPUNIT_TEST(aRefusalTellsWhenAnUpstreamWantsRequestsAgain);
+    CPPUNIT_TEST(clientsAreNotSentAwayForTheWholeWaitOfAnUpstream);
     CPPUNIT_TEST(twoContentLengthsAreRefused);
     CPPUNIT_TEST(aContentLengthWithChunkedCodingIsRefused);
     CPPUNIT_TEST(anUnknownTransferCodingIsRefused);
@@ -891,6 +892,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, upstream.requests.size());
     }
 
+    /// Guards against clients that stay away for a day, although another upstream may register at any moment.
+    void clientsAreNotSentAwayForTheWholeWaitOfAnUpstream()
+    {
+        ForwardRig rig;
+        rig.route("once", Repeatability::Once);
+        test::ScriptedUpstream &upstream = rig.upstream("u", {{upstreamAnswer(200, "ok")}});
+        UpstreamList &upstreams = rig.context.fleetView.upstreams;
+        upstreams.postpone(upstreams.find(UpstreamId("u"))->entry, bootClockNow() + Milliseconds(86400000));
+        const std::string answer = rig.exchange(clientRequest("/once/"));
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(answer));
+        CPPUNIT_ASSERT(contains(answer, "Retry-After: 60.000\r\n"));
+        CPPUNIT_ASSERT(upstream.requests.empty());
+    }
+
     /// Sends bytes that are not a valid request; nothing may reach the upstream.
     static std::string sendMalformed(const std::string &bytes)
     {
