--- a/src/core/check.cpp
+++ b/src/core/check.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -49,7 +50,7 @@
         const auto found = entry.is_object() ? entry.find(member) : entry.end();
         return found != entry.end() && found->is_string() ? found->get<std::string>() : std::string();
     };
-    if (!text("version").empty()) {
+    if (!text("model").empty() && !text("version").empty()) {
         return text("model") + "@" + text("version");
     }
     for (const char *member : {"id", "name", "model"}) {
@@ -151,24 +152,89 @@
 struct TextTraits
 {
     int depth = 0;
-    /// Members that an object has twice; only the last value is read.
+    /// Places of the members that an object has twice; only the last value is read.
     std::vector<std::string> repeatedMembers;
 };
 
-/// Parses JSON text. @throw Json::exception
-Json parseText(const std::string &text, TextTraits &traits)
+/// Follows the events of the JSON parser, and collects what is lost in the document.
+class TextObserver
 {
-    std::vector<std::set<std::string>> members;
-    const auto observe = [&](int depth, Json::parse_event_t event, Json &parsed) {
-        traits.depth = std::max(traits.depth, depth);
-        if (event == Json::parse_event_t::object_start) {
-            members.emplace_back();
-        } else if (event == Json::parse_event_t::object_end) {
-            members.pop_back();
-        } else if (event == Json::parse_event_t::key && !members.back().insert(parsed.get<std::string>()).second) {
-            traits.repeatedMembers.push_back(parsed.get<std::string>());
+public:
+    explicit TextObserver(TextTraits &traitsFound)
+        : traits(traitsFound)
+    {
+    }
+    bool observe(int depth, Json::parse_event_t event, const Json &parsed)
+    {
+        this->traits.depth = std::max(this->traits.depth, depth);
+        switch (event) {
+        case Json::parse_event_t::object_start:
+        case Json::parse_event_t::array_start:
+            this->open(event == Json::parse_event_t::array_start);
+            break;
+        case Json::parse_event_t::object_end:
+        case Json::parse_event_t::array_end:
+            this->levels.pop_back();
+            this->countItem();
+            break;
+        case Json::parse_event_t::key:
+            this->enterMember(parsed.get<std::string>());
+            break;
+        case Json::parse_event_t::value:
+            this->countItem();
+            break;
         }
         return true;
+    }
+
+private:
+    /// An object or array that has not ended.
+    struct Level
+    {
+        bool isArray = false;
+        std::size_t items = 0;
+        std::string member;
+        std::set<std::string> members;
+    };
+
+    void open(bool isArray)
+    {
+        this->levels.push_back({.isArray = isArray});
+    }
+    void countItem()
+    {
+        if (!this->levels.empty()) {
+            ++this->levels.back().items;
+        }
+    }
+    void enterMember(std::string member)
+    {
+        Level &level = this->levels.back();
+        const bool isNew = level.members.insert(member).second;
+        level.member = std::move(member);
+        if (!isNew) {
+            this->traits.repeatedMembers.push_back(this->place());
+        }
+    }
+    std::string place() const
+    {
+        std::string path;
+        for (const Level &level : this->levels) {
+            path += level.isArray ? indexedPlace("", level.items) : (path.empty() ? "" : ".") + level.member;
+        }
+        return path;
+    }
+
+    TextTraits &traits;
+    std::vector<Level> levels;
+};
+
+/// Parses JSON text. @throw Json::exception
+Json parseText(const std::string &text, TextTraits &traits)
+{
+    TextObserver observer(traits);
+    const auto observe = [&](int depth, Json::parse_event_t event, const Json &parsed) {
+        return observer.observe(depth, event, parsed);
     };
     return Json::parse(text, observe);
 }
@@ -246,8 +312,15 @@
         }
         const std::string member = findUnreadableMember(value, readProblem);
         if (!member.empty()) {
+            // Other lists are left out: copying them for each item would take quadratic time in a long entry.
+            Json others = value;
+            for (Json &other : others) {
+                if (other.is_array()) {
+                    other = Json::array();
+                }
+            }
             const ReadProblem memberProblem = [&](const Json &replaced) {
-                Json changed = value;
+                Json changed = others;
                 changed[member] = replaced;
                 return readProblem(changed);
             };
@@ -337,6 +410,14 @@
     });
 }
 
+bool usesModel(const Account &account, const ModelName &model)
+{
+    return std::any_of(account.tasks.begin(), account.tasks.end(), [&](const Task &task) {
+        const auto *work = std::get_if<ModelTask>(&task.work);
+        return work != nullptr && std::find(work->chain.begin(), work->chain.end(), model) != work->chain.end();
+    });
+}
+
 /// The lowest cost of the versions of the model that get new requests of the account; nothing when there is none.
 std::optional<MicroCost> servedCost(const Configuration &configuration, const Account &account, const ModelName &model)
 {
@@ -345,7 +426,10 @@
         if (entry.id.model != model || !allows(account, entry.id) || !takesWork(entry, false) || entry.weight == 0) {
             continue;
         }
-        lowest = lowest ? std::min(*lowest, entry.costPerMillionTokens) : entry.costPerMillionTokens;
+        // A cost of 0 is one that was not given.
+        const MicroCost cost = entry.costPerMillionTokens;
+        const bool isLower = !lowest || lowest->value() == 0 || (cost.value() > 0 && cost < *lowest);
+        lowest = isLower ? cost : lowest;
     }
     return lowest;
 }
@@ -360,10 +444,21 @@
         findings.warnIf(!cost, itemPlace,
                         "is never used: the account allows no version of '" + work.chain[i].str()
                             + "' that is serving with a weight greater than 0");
-        // A cost of 0 is one that was not given.
-        const bool isCheaper = cost && previous && cost->value() > 0 && *cost < *previous;
+        const bool isCostKnown = cost && cost->value() > 0;
+        const bool isCheaper = isCostKnown && previous && *cost < *previous;
         findings.warnIf(isCheaper, itemPlace, "costs less than the model before it, but the cheapest must be first");
-        previous = cost ? cost : previous;
+        previous = isCostKnown ? cost : previous;
+    }
+}
+
+/// Reports hashes that no key can have: validate() accepts capital digits, but hashes of keys are compared as text.
+void checkKeyHashes(const Account &account, const std::string &place, FindingList &findings)
+{
+    for (std::size_t i = 0; i < account.keyHashes.size(); ++i) {
+        const std::string &hash = account.keyHashes[i];
+        const bool hasCapital = std::any_of(hash.begin(), hash.end(), [](char c) { return c >= 'A' && c <= 'F'; });
+        findings.warnIf(hasCapital, indexedPlace(place + ".keyHashes", i),
+                        "is never used: it has capital digits, and the hashes of keys are in lower case");
     }
 }
 
@@ -376,6 +471,7 @@
         findings.warnIf(account.tasks.empty(), place + ".tasks", "is empty, so every request is rejected");
         findings.warnIf(account.priority.bought && account.priority.share == 0, place + ".priority.share",
                         "is 0, but the account bought priority");
+        checkKeyHashes(account, place, findings);
         boughtShares += account.priority.bought ? account.priority.share : 0;
         for (std::size_t k = 0; k < account.tasks.size(); ++k) {
             if (const auto *work = std::get_if<ModelTask>(&account.tasks[k].work)) {
@@ -396,11 +492,17 @@
         const std::string place = indexedPlace("versions", i);
         const bool isAllowed = std::any_of(configuration.accounts.begin(), configuration.accounts.end(),
                                            [&](const Account &account) { return allows(account, entry.id); });
+        const bool isInChain
+            = std::any_of(configuration.accounts.begin(), configuration.accounts.end(), [&](const Account &account) {
+                  return allows(account, entry.id) && usesModel(account, entry.id.model);
+              });
         const bool isLoaded = std::any_of(configuration.upstreams.begin(), configuration.upstreams.end(),
                                           [&](const Upstream &upstream) { return loads(upstream, entry.id); });
         const bool isServing = entry.state == VersionState::Serving;
         findings.warnIf(!isAllowed && entry.state != VersionState::Withdrawn, place,
                         "is never used: no account allows it");
+        findings.warnIf(isAllowed && !isInChain && entry.state != VersionState::Withdrawn, place,
+                        "is never used: no account that allows it has a task with its model");
         findings.warnIf(isServing && entry.weight == 0, place + ".weight",
                         "is 0, so it gets no new requests although it is serving");
         findings.warnIf(isServing && entry.weight > 0 && !isLoaded, place, "is serving, but no engine loads it");
@@ -611,7 +713,10 @@
 /// Tells the kind by the content; nothing when the text is neither JSON nor INI with a known section.
 std::optional<FileKind> findKind(const std::string &text)
 {
-    const std::size_t first = text.find_first_not_of(" \t\r\n");
+    // The JSON and INI parsers skip a byte order mark.
+    constexpr std::string_view byteOrderMark = "\xef\xbb\xbf";
+    const std::size_t first
+        = text.find_first_not_of(" \t\r\n", text.starts_with(byteOrderMark) ? byteOrderMark.size() : 0);
     if (first != std::string::npos && text[first] == '{') {
         return FileKind::Configuration;
     }
@@ -634,6 +739,11 @@
                         .detail = file.name + (file.name.empty() ? "" : ": ") + detail});
 }
 
+std::nullopt_t failTooDeep(const CheckedFile &file, LastReason &reason)
+{
+    return failUnreadable(file, "is nested more than " + std::to_string(maxDepth) + " levels deep", reason);
+}
+
 /// A session key for configurations generated from answers, as the questionnaire adds one where there is none.
 void addPlaceholderSessionKey(Configuration &configuration)
 {
@@ -683,11 +793,11 @@
     TextTraits traits;
     const Json document = parseText(file.text, traits);
     if (traits.depth > maxDepth) {
-        return failUnreadable(file, "is nested more than " + std::to_string(maxDepth) + " levels deep", reason);
+        return failTooDeep(file, reason);
     }
     FindingList findings(file.name, document);
     for (const std::string &member : traits.repeatedMembers) {
-        findings.addNamed(FindingSeverity::Error, "", "an object has the member '" + member + "' twice");
+        findings.add(FindingSeverity::Error, member, "is given twice; only the last value is read");
     }
     LastReason parseReason;
     const auto configuration = parseConfiguration(file.text, parseReason);
@@ -703,6 +813,22 @@
     return findings.take();
 }
 
+std::optional<Configuration> readComparedDocument(const CheckedFile &file, LastReason &reason)
+{
+    try {
+        TextTraits traits;
+        parseText(file.text, traits);
+        if (traits.depth > maxDepth) {
+            return failTooDeep(file, reason);
+        }
+    } catch (const Json::exception &error) {
+        return failUnreadable(file, error.what(), reason);
+    }
+    LastReason parseReason;
+    auto configuration = parseConfiguration(file.text, parseReason);
+    return configuration ? std::move(configuration) : failUnreadable(file, parseReason.failure().detail, reason);
+}
+
 } // namespace
 
 std::optional<std::vector<CheckFinding>> checkFile(const CheckedFile &file, const std::optional<Configuration> &against,
@@ -726,7 +852,7 @@
 {
     const auto kind = findKind(file.text);
     if (kind == FileKind::Configuration) {
-        return parseConfiguration(file.text, reason);
+        return readComparedDocument(file, reason);
     }
     std::vector<SettingProblem> problems;
     const auto answers = readAnswers(file.text, file.name, problems);
@@ -748,7 +874,12 @@
     for (const std::string &part : {finding.entry, finding.field}) {
         text += part.empty() ? "" : " " + part;
     }
-    return text + ": " + finding.message;
+    const bool isWholeFile = finding.entry.empty() && finding.field.empty();
+    text += (isWholeFile ? " " : ": ") + finding.message;
+    // Names in a file may contain line breaks and escape sequences, which would forge lines or garble the terminal.
+    std::replace_if(
+        text.begin(), text.end(), [](char c) { return std::iscntrl(static_cast<unsigned char>(c)) != 0; }, '?');
+    return text;
 }
 
 } // namespace parsleyvane
--- a/tests/unit-check.cpp
+++ b/tests/unit-check.cpp
@@ -6,6 +6,7 @@
 #include "parsleyvane/config/questionnaire.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace parsleyvane {
 
@@ -84,7 +85,17 @@
         {sample, "\"slots\":8", "\"slots\":-1", "error F: upstreams[e1] slots: is read as 4294967295"},
         {sample, "\"slots\":8", "\"places\":8",
          "warning F: upstreams[e1] places: is not a member of this entry and is ignored"},
-        {sample, "\"slots\":8", "\"slots\":8,\"slots\":9", "error F:: an object has the member 'slots' twice"},
+        {sample, "\"slots\":8", "\"slots\":8,\"slots\":9",
+         "error F: upstreams[e1] slots: is given twice; only the last value is read"},
+        {sample, "\"slots\":8", "\"version\":\"8\"",
+         "warning F: upstreams[e1] version: is not a member of this entry and is ignored"},
+        {sample, "[\"" + std::string(64, 'a') + "\"]", "[\"" + std::string(64, 'A') + "\"]",
+         "warning F: accounts[agents] keyHashes[0]: is never used: it has capital digits"},
+        {sample, "\"chain\":[\"wattle\",\"karri\"]", "\"chain\":[\"wattle\"]",
+         "warning F: versions[karri@7]: is never used: no account that allows it has a task with its model"},
+        {sample, "\"slots\":8", "\"sl\\nots\":8",
+         "warning F: upstreams[e1] sl?ots: is not a member of this entry and is ignored"},
+        {sample, "{", "\xef\xbb\xbf{\"places\":1,", "warning F: places: is not a member of this entry and is ignored"},
         {sample, "\"qualityTarget\":0.9", "\"qualityTarget\":9",
          "error F: accounts[agents].tasks[triage] qualityTarget: is not from 0 to 1"},
         {sample, "[\"" + std::string(64, 'a') + "\"]", "[]",
@@ -147,6 +158,9 @@
     CPPUNIT_TEST(brokenFilesAreExplained);
     CPPUNIT_TEST(differencesAreOrderedByHarm);
     CPPUNIT_TEST(answersAreComparedWithWhatTheyAmend);
+    CPPUNIT_TEST(modelsWithoutCostAreNotCompared);
+    CPPUNIT_TEST(comparedFilesThatAreUnreadableAreNamed);
+    CPPUNIT_TEST(longEntriesAreCheckedInLinearTime);
     CPPUNIT_TEST(filesOfNoKindAreUnreadable);
     CPPUNIT_TEST(damagedFilesGiveFindingsOrAReason);
     CPPUNIT_TEST_SUITE_END();
@@ -206,6 +220,55 @@
         CPPUNIT_ASSERT(!readComparedVersion({"parsleyvaned.ini", settingsText()}, reason));
     }
 
+    /// Guards against a version without a cost that hides the costs of the others: of its model, or along the chain.
+    void modelsWithoutCostAreNotCompared()
+    {
+        Configuration configuration = test::sampleConfiguration();
+        const ModelVersion jarrah = test::version("jarrah", "1");
+        configuration.versions[0].costPerMillionTokens = MicroCost(20);
+        configuration.versions[1] = {test::version("wattle", "4"), VersionState::Serving, 1, MicroCost(0)};
+        configuration.versions.push_back({jarrah, VersionState::Serving, 1, MicroCost(0)});
+        configuration.accounts[0].allowed.push_back(jarrah);
+        std::get<Engine>(configuration.upstreams[0].kind).loads.push_back(jarrah);
+        std::get<ModelTask>(configuration.accounts[0].tasks[0].work).chain
+            = {ModelName("wattle"), ModelName("jarrah"), ModelName("karri")};
+        CPPUNIT_ASSERT_EQUAL(std::string("warning F: accounts[agents].tasks[triage] chain[2]: costs less than the "
+                                         "model before it, but the cheapest must be first\n"),
+                             joined(findingsOf(serialise(configuration))));
+    }
+
+    /// Guards against a stack overflow in the version to compare with, and an error that does not tell which of the
+    /// two files it is about.
+    void comparedFilesThatAreUnreadableAreNamed()
+    {
+        constexpr std::size_t depth = 1000000;
+        const std::string deep = replaced(
+            sampleText(),
+            "\"change\":", "\"change\":" + std::string(depth, '[') + std::string(depth, ']') + ",\"replaced\":");
+        for (const std::string &text : {std::string("{"), std::string("{}"), deep}) {
+            LastReason reason;
+            CPPUNIT_ASSERT(!readComparedVersion({"active.json", text}, reason));
+            CPPUNIT_ASSERT(reason.failure().detail.starts_with("active.json: "));
+        }
+    }
+
+    /// Guards against a search for the unreadable item that copies the whole list for each item: 20,000 keys took
+    /// minutes.
+    void longEntriesAreCheckedInLinearTime()
+    {
+        std::string keys;
+        constexpr int keyCount = 20000;
+        for (int i = 0; i < keyCount; ++i) {
+            keys += "\"" + std::string(64, 'a') + "\",";
+        }
+        const std::string text = replaced(sampleText(), "[\"" + std::string(64, 'a') + "\"]", "[" + keys + "5]");
+        const auto begin = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT_EQUAL(std::string("error F: accounts[agents] keyHashes[20000]: cannot be read: type must be "
+                                         "string, but is number\n"),
+                             joined(findingsOf(text)));
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds(20));
+    }
+
     /// Guards against "no findings" for a file that was not understood, and against a stack overflow.
     void filesOfNoKindAreUnreadable()
     {
