Check the platform's configuration with parsleyvanectl

parsleyvanectl check read only the project's own formats. The decoder reads the document only when it has no errors, as it converts numbers unchecked.

Not checked: whatever depends on zones or registered servers, which are not part of this configuration, and repeated members. An unknown service is reported only where the configuration lists services, as a warning, because servers may register for it.

--- a/daemons/ctl/checkcommand.cpp
+++ b/daemons/ctl/checkcommand.cpp
@@ -1,6 +1,7 @@
 #include "commands.h"
 
 #include "parsleyvane/config/check.h"
+#include "platform/configurationcheck.h"
 #include "platformtable.h"
 
 #include <absl/flags/flag.h>
@@ -16,6 +17,7 @@
 constexpr ExitCode isUnreadable = ExitCode::Usage;
 
 constexpr const char *runningVersion = "running";
+constexpr const char *platformFormat = "platform";
 
 std::optional<CheckedFile> readCheckedFile(const std::string &name, LastReason &reason)
 {
@@ -61,6 +63,10 @@
 ExitCode runCheck(const Arguments &arguments)
 {
     const std::string against = absl::GetFlag(FLAGS_against);
+    const std::string format = absl::GetFlag(FLAGS_format);
+    if (!format.empty() && format != platformFormat) {
+        return usageError("--format must be platform");
+    }
     if (arguments.size() != 1) {
         return usageError("check expects one FILE");
     }
@@ -72,6 +78,13 @@
     if (!file) {
         return reportUnreadable(reason.failure());
     }
+    if (format == platformFormat || platform::isConfiguration(file->text)) {
+        if (!against.empty()) {
+            return usageError("check does not compare the platform's configuration");
+        }
+        const auto findings = platform::checkConfiguration(*file, reason);
+        return findings ? reportFindings(*findings) : reportUnreadable(reason.failure());
+    }
     const auto compared = against.empty() ? std::nullopt : readAgainst(against, reason);
     if (!against.empty() && !compared) {
         return reportUnreadable(reason.failure());
--- a/daemons/ctl/options.cpp
+++ b/daemons/ctl/options.cpp
@@ -19,6 +19,8 @@
           "questionnaire: the answers file; without it, the questions are asked interactively");
 ABSL_FLAG(std::string, base, "", "questionnaire: the configuration to amend");
 ABSL_FLAG(std::string, file, "", "validate, diff, submit: the configuration file; - is the standard input");
+ABSL_FLAG(std::string, format, "",
+          "check: platform for the platform's configuration; by default the file's members tell");
 ABSL_FLAG(std::string, out, "-", "questionnaire, show: the file to write; - is the standard output");
 ABSL_FLAG(std::string, set, "", "questionnaire: answers that replace those of the file: NAME.key=value, ...");
 ABSL_FLAG(std::string, platform, "", "IP:PORT of the platform");
--- a/daemons/ctl/options.h
+++ b/daemons/ctl/options.h
@@ -18,6 +18,7 @@
 ABSL_DECLARE_FLAG(std::string, answers);
 ABSL_DECLARE_FLAG(std::string, base);
 ABSL_DECLARE_FLAG(std::string, file);
+ABSL_DECLARE_FLAG(std::string, format);
 ABSL_DECLARE_FLAG(std::string, out);
 ABSL_DECLARE_FLAG(std::string, set);
 ABSL_DECLARE_FLAG(std::string, platform);
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -1,5 +1,6 @@
 #include "suite.h"
 
+#include "platform/configurationcheck.h"
 #include "platform/contracts.h"
 #include "platform/headers.h"
 #include "platform/names.h"
@@ -33,6 +34,83 @@
 const std::string validUpstream
     = R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1","slots":6,"state":"ready","born":17})";
 
+/// A configuration without findings.
+const std::string checkedConfiguration
+    = R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"idempotent","timeout_ms":1500,)"
+      R"("target_latency_ms":300,"max_attempts":2,"allowed_regions":["n"],"traffic_split":[)"
+      R"({"service":"s","weight":90},{"service":"t","weight":10}]},)"
+      R"({"name":"q","host":"h","prefix":"/q/","kind":"streaming","stream_resume":true,"service":"s","sizes":["m"]}],)"
+      R"("services":[{"name":"s","cold_start_s":2,"cold_per_s":5},{"name":"t"}],"limits":{"idle_timeout_ms":9000},)"
+      R"("tenants":[{"name":"acme","api_keys":["secret-1"],"allowed_regions":["n","w"]},)"
+      R"({"name":"umbra","api_keys":["secret-2"]}]})";
+
+std::string replaced(std::string text, const std::string &found, const std::string &replacement)
+{
+    const std::size_t at = text.find(found);
+    CPPUNIT_ASSERT_MESSAGE(found, at != std::string::npos);
+    return text.replace(at, found.size(), replacement);
+}
+
+std::string findingsOf(const std::string &text)
+{
+    LastReason reason;
+    const auto findings = platform::checkConfiguration({"F", text}, reason);
+    if (!findings) {
+        return "unreadable " + reason.failure().detail + "\n";
+    }
+    std::string lines;
+    for (const CheckFinding &finding : *findings) {
+        lines += describe(finding) + "\n";
+    }
+    return lines;
+}
+
+/// A replacement in a configuration without findings, and the only finding that it must cause.
+struct BrokenConfiguration
+{
+    const char *found;
+    const char *replacement;
+    const char *finding;
+};
+
+constexpr std::array brokenConfigurations = {
+    BrokenConfiguration{"1500", "\"1500\"", "error F: routes[r] timeout_ms: is not a number"},
+    BrokenConfiguration{"1500", "1e300", "error F: routes[r] timeout_ms: is not from 1.0 to 2592000000.0"},
+    BrokenConfiguration{"\"max_attempts\":2", "\"max_attempts\":0",
+                        "error F: routes[r] max_attempts: is not from 1.0 to 2147483647.0"},
+    BrokenConfiguration{"[\"n\"]", "[5]", "error F: routes[r] allowed_regions: is not a list of texts"},
+    BrokenConfiguration{"\"idempotent\"", "\"idempotant\"",
+                        "error F: routes[r] kind: is unknown and read as non_idempotent"},
+    BrokenConfiguration{"\"/p/\"", "\"/p\"",
+                        "error F: routes[r] prefix: does not begin and end with '/', so the route never matches"},
+    BrokenConfiguration{"\"/p/\"", "\"/q/\"",
+                        "warning F: routes[r] prefix: is that of a later route of the same host, so this one never "
+                        "matches"},
+    BrokenConfiguration{",\"service\":\"s\",", ",", "error F: routes[q] service: is missing, so the route is ignored"},
+    BrokenConfiguration{",\"service\":\"s\",", ",\"service\":\"u\",",
+                        "warning F: routes[q] service: names 'u', which is not one of the services"},
+    BrokenConfiguration{"{\"name\":\"t\"}", "{\"name\":\"t\"},{\"name\":\"u\"}",
+                        "warning F: services[u]: is never used: no route names it"},
+    BrokenConfiguration{"\"weight\":10", "\"weight\":0",
+                        "warning F: routes[r] traffic_split[1].weight: is 0, so the service gets no requests of the "
+                        "route"},
+    BrokenConfiguration{"1500", "200", "warning F: routes[r] timeout_ms: is less than target_latency_ms"},
+    BrokenConfiguration{"[\"m\"]", "[]",
+                        "warning F: routes[q] sizes: is an empty list, which is read as no choice of models"},
+    BrokenConfiguration{"[\"n\"]", "[\"e\"]",
+                        "warning F: routes[r] allowed_regions: has no region in common with tenant 'acme'"},
+    BrokenConfiguration{"[\"secret-2\"]", "[]",
+                        "warning F: tenants[umbra] api_keys: has no key, so no client can use the tenant"},
+    BrokenConfiguration{"secret-2", "secret-1",
+                        "error F: tenants[umbra] api_keys[0]: is held by tenants[acme], too; only the last entry "
+                        "counts"},
+    BrokenConfiguration{",\"cold_per_s\":5", "",
+                        "warning F: services[s] cold_start_s: and cold_per_s are not both greater than 0, so the "
+                        "service has no cold phase"},
+    BrokenConfiguration{"{\"idle_timeout_ms\":9000}", "[]", "error F: limits: is not an object and is ignored"},
+    BrokenConfiguration{"{\"version\"", "{", "unreadable F: is no JSON object"},
+};
+
 } // namespace
 
 class PlatformTest : public CppUnit::TestFixture
@@ -60,6 +138,10 @@
     CPPUNIT_TEST(deeplyNestedRowsAreRead);
     CPPUNIT_TEST(aWrittenStatusReadsBackEqual);
     CPPUNIT_TEST(arbitraryBytesDoNotCrashTheReaders);
+    CPPUNIT_TEST(aValidConfigurationHasNoFindings);
+    CPPUNIT_TEST(brokenConfigurationsAreExplained);
+    CPPUNIT_TEST(findingsDoNotContainKeys);
+    CPPUNIT_TEST(damagedConfigurationsGiveFindingsOrAReason);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -370,6 +452,48 @@
             platform::readStatus(row("status/rollout/x", text), reason);
         });
     }
+
+    /// Guards against false alarms, which would make the exit code useless in scripts.
+    void aValidConfigurationHasNoFindings()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), findingsOf(checkedConfiguration));
+        CPPUNIT_ASSERT(platform::isConfiguration(checkedConfiguration));
+        CPPUNIT_ASSERT(!platform::isConfiguration(R"({"accounts":[],"versions":[]})"));
+    }
+
+    /// Guards against a mistake that passes silently, or whose message names another entry or field.
+    void brokenConfigurationsAreExplained()
+    {
+        for (const BrokenConfiguration &broken : brokenConfigurations) {
+            CPPUNIT_ASSERT_EQUAL(std::string(broken.finding) + "\n",
+                                 findingsOf(replaced(checkedConfiguration, broken.found, broken.replacement)));
+        }
+    }
+
+    /// Guards against keys of clients in logs of scripts.
+    void findingsDoNotContainKeys()
+    {
+        const std::string twice = replaced(checkedConfiguration, "secret-2", "secret-1");
+        CPPUNIT_ASSERT(findingsOf(twice).find("secret") == std::string::npos);
+    }
+
+    /// Guards against files that end the process, and against numbers out of range that reach the decoder.
+    void damagedConfigurationsGiveFindingsOrAReason()
+    {
+        const std::vector<std::string> tokens
+            = {"{", "}", "[", "]", ",", "null", "-1", "1e300", "1e18", "\"\"", "{}", "\xff", std::string(1000, '[')};
+        test::property("a damaged configuration gives findings or a reason", [&] {
+            std::string text = checkedConfiguration;
+            const int damages = *rc::gen::inRange(1, 5);
+            for (int damage = 0; damage < damages; ++damage) {
+                const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+                text.replace(at, *rc::gen::inRange<std::size_t>(0, 20), *rc::gen::elementOf(tokens));
+            }
+            LastReason reason;
+            const auto findings = platform::checkConfiguration({"F", text}, reason);
+            RC_ASSERT(findings || !reason.failure().detail.empty());
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
