Compare two versions of the platform's configuration

Entries are matched by name, a missing member has the decoder's default, and the split of a route is compared by each service's share.

--- a/daemons/ctl/checkcommand.cpp
+++ b/daemons/ctl/checkcommand.cpp
@@ -2,6 +2,7 @@
 
 #include "parsleyvane/config/check.h"
 #include "platform/configurationcheck.h"
+#include "platform/configurationdiff.h"
 #include "platformtable.h"
 
 #include <absl/flags/flag.h>
@@ -58,6 +59,26 @@
     return findings.empty() ? ExitCode::Ok : findingsExist;
 }
 
+/// Checks the platform's configuration, and compares it with the file `against` unless the name is empty.
+ExitCode checkPlatformFile(const CheckedFile &file, const std::string &against)
+{
+    if (against == runningVersion) {
+        return usageError("check compares the platform's configuration with a file only");
+    }
+    LastReason reason;
+    auto findings = platform::checkConfiguration(file, reason);
+    if (!findings || against.empty()) {
+        return findings ? reportFindings(*findings) : reportUnreadable(reason.failure());
+    }
+    const auto compared = readCheckedFile(against, reason);
+    const auto differences = compared ? platform::compareConfigurations(*compared, file, reason) : std::nullopt;
+    if (!differences) {
+        return reportUnreadable(reason.failure());
+    }
+    findings->insert(findings->end(), differences->begin(), differences->end());
+    return reportFindings(*findings);
+}
+
 } // namespace
 
 ExitCode runCheck(const Arguments &arguments)
@@ -79,11 +100,7 @@
         return reportUnreadable(reason.failure());
     }
     if (format == platformFormat || platform::isConfiguration(file->text)) {
-        if (!against.empty()) {
-            return usageError("check does not compare the platform's configuration");
-        }
-        const auto findings = platform::checkConfiguration(*file, reason);
-        return findings ? reportFindings(*findings) : reportUnreadable(reason.failure());
+        return checkPlatformFile(*file, against);
     }
     const auto compared = against.empty() ? std::nullopt : readAgainst(against, reason);
     if (!against.empty() && !compared) {
--- a/daemons/ctl/main.cpp
+++ b/daemons/ctl/main.cpp
@@ -26,7 +26,7 @@
       Lists all problems of a configuration.
   parsleyvanectl check FILE [--against=running | --against=FILE] [--platform=IP:PORT] [--format=platform]
       Lists errors, unused entries and contradictory limits of a configuration, answers or settings, and what they change,
-      the most harmful first. Also checks the platform's configuration, on its own. Exit codes: 0 no findings; 1 findings; 2 a file cannot be read; 5 as below.
+      the most harmful first. Also for the platform's configuration. Exit codes: 0 no findings; 1 findings; 2 a file cannot be read; 5 as below.
   parsleyvanectl show --platform=IP:PORT [--out=FILE]
       Writes the active configuration.
   parsleyvanectl diff --file=FILE [--base=FILE | --platform=IP:PORT]
--- a/include/parsleyvane/config/check.h
+++ b/include/parsleyvane/config/check.h
@@ -21,6 +21,15 @@
     Note, ///< a change that takes nothing away
 };
 
+/// @brief How much a change takes away, the most harmful first.
+enum class ChangeHarm {
+    Removed,
+    Narrowed,
+    Replaced, ///< another value that is neither less nor more, such as an address
+    Widened,
+    Added,
+};
+
 /// @brief Something in a file that an operator should look at.
 struct CheckFinding
 {
@@ -67,6 +76,9 @@
 /// @param reason InvalidConfiguration
 std::optional<Configuration> readComparedVersion(const CheckedFile &file, LastReason &reason);
 
+/// @brief "removed", "narrowed", "replaced", "widened" or "added".
+std::string_view harmName(ChangeHarm harm) noexcept;
+
 /// @brief "error", "warning" or "note".
 std::string_view severityName(FindingSeverity severity) noexcept;
 
--- a/src/core/check.cpp
+++ b/src/core/check.cpp
@@ -28,21 +28,6 @@
 /// 7 levels.
 constexpr int maxDepth = 32;
 
-/// How much a change takes away, the most harmful first.
-enum class ChangeHarm {
-    Removed,
-    Narrowed,
-    Replaced, ///< another value that is neither less nor more, such as an address
-    Widened,
-    Added,
-};
-
-std::string_view harmName(ChangeHarm harm) noexcept
-{
-    constexpr std::array<std::string_view, 5> names = {"removed", "narrowed", "replaced", "widened", "added"};
-    return names.at(static_cast<std::size_t>(harm));
-}
-
 /// The identifier of a list entry, as in the places of diff(); empty when it has none.
 std::string entryName(const Json &entry)
 {
@@ -862,6 +847,12 @@
     return amend(Configuration(), *answers);
 }
 
+std::string_view harmName(ChangeHarm harm) noexcept
+{
+    constexpr std::array<std::string_view, 5> names = {"removed", "narrowed", "replaced", "widened", "added"};
+    return names.at(static_cast<std::size_t>(harm));
+}
+
 std::string_view severityName(FindingSeverity severity) noexcept
 {
     constexpr std::array<std::string_view, 3> names = {"error", "warning", "note"};
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -1,6 +1,7 @@
 #include "suite.h"
 
 #include "platform/configurationcheck.h"
+#include "platform/configurationdiff.h"
 #include "platform/contracts.h"
 #include "platform/headers.h"
 #include "platform/names.h"
@@ -141,6 +142,7 @@
     CPPUNIT_TEST(aValidConfigurationHasNoFindings);
     CPPUNIT_TEST(brokenConfigurationsAreExplained);
     CPPUNIT_TEST(findingsDoNotContainKeys);
+    CPPUNIT_TEST(differencesOfConfigurationsAreOrderedByHarm);
     CPPUNIT_TEST(damagedConfigurationsGiveFindingsOrAReason);
     CPPUNIT_TEST_SUITE_END();
 
@@ -477,6 +479,31 @@
         CPPUNIT_ASSERT(findingsOf(twice).find("secret") == std::string::npos);
     }
 
+    /// Guards against a removal that is overlooked below additions, and against keys in the output.
+    void differencesOfConfigurationsAreOrderedByHarm()
+    {
+        std::string after = replaced(checkedConfiguration, "\"max_attempts\":2,\"allowed_regions\":[\"n\"]",
+                                     "\"allowed_regions\":[\"n\",\"w\"]");
+        after = replaced(after, "\"weight\":10", "\"weight\":0");
+        after = replaced(after, "\"secret-2\"", "\"secret-3\"");
+        after = replaced(after, "300", "400");
+        LastReason reason;
+        std::string lines;
+        const auto findings = platform::compareConfigurations({"old", checkedConfiguration}, {"F", after}, reason);
+        CPPUNIT_ASSERT(findings);
+        for (const CheckFinding &finding : *findings) {
+            lines += describe(finding) + "\n";
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("warning F: routes[r] service: removed: share of 't': 0.1 -> 0.0\n"
+                                         "warning F: tenants[umbra] api_keys: removed: 1 of them\n"
+                                         "warning F: routes[r] max_attempts: narrowed: 2 -> 1\n"
+                                         "warning F: routes[r] target_latency_ms: replaced: 300 -> 400\n"
+                                         "note F: routes[r] allowed_regions: widened: [\"n\"] -> [\"n\",\"w\"]\n"
+                                         "note F: routes[r] service: widened: share of 's': 0.9 -> 1.0\n"
+                                         "note F: tenants[umbra] api_keys: added: 1 of them\n"),
+                             lines);
+    }
+
     /// Guards against files that end the process, and against numbers out of range that reach the decoder.
     void damagedConfigurationsGiveFindingsOrAReason()
     {
@@ -492,6 +519,11 @@
             LastReason reason;
             const auto findings = platform::checkConfiguration({"F", text}, reason);
             RC_ASSERT(findings || !reason.failure().detail.empty());
+            LastReason diffReason;
+            const bool isCompared
+                = platform::compareConfigurations({"old", text}, {"F", checkedConfiguration}, diffReason).has_value()
+                && platform::compareConfigurations({"old", checkedConfiguration}, {"F", text}, diffReason).has_value();
+            RC_ASSERT(isCompared || !diffReason.failure().detail.empty());
         });
     }
 };
