Report repeated members of the platform's configuration

The decoder reads only the last value of a member that is given twice, so the file says something else than what is in force. Uses the parser of the existing check.

--- a/include/parsleyvane/config/check.h
+++ b/include/parsleyvane/config/check.h
@@ -76,6 +76,9 @@
 /// @param reason InvalidConfiguration
 std::optional<Configuration> readComparedVersion(const CheckedFile &file, LastReason &reason);
 
+/// @brief Reports members that an object of a JSON text has twice; nothing for a text that cannot be parsed.
+std::vector<CheckFinding> findRepeatedMembers(const CheckedFile &file);
+
 /// @brief "removed", "narrowed", "replaced", "widened" or "added".
 std::string_view harmName(ChangeHarm harm) noexcept;
 
--- a/src/core/check.cpp
+++ b/src/core/check.cpp
@@ -111,6 +111,12 @@
                                       "found " + problem.found + ", allowed: " + problem.allowed});
         }
     }
+    void addRepeatedMembers(const std::vector<std::string> &places)
+    {
+        for (const std::string &place : places) {
+            this->add(FindingSeverity::Error, place, "is given twice; only the last value is read");
+        }
+    }
     bool isEmpty() const noexcept
     {
         return this->findings.empty();
@@ -781,9 +787,7 @@
         return failTooDeep(file, reason);
     }
     FindingList findings(file.name, document);
-    for (const std::string &member : traits.repeatedMembers) {
-        findings.add(FindingSeverity::Error, member, "is given twice; only the last value is read");
-    }
+    findings.addRepeatedMembers(traits.repeatedMembers);
     LastReason parseReason;
     const auto configuration = parseConfiguration(file.text, parseReason);
     if (!configuration) {
@@ -847,6 +851,22 @@
     return amend(Configuration(), *answers);
 }
 
+std::vector<CheckFinding> findRepeatedMembers(const CheckedFile &file)
+{
+    try {
+        TextTraits traits;
+        const Json document = parseText(file.text, traits);
+        if (traits.depth > maxDepth) {
+            return {};
+        }
+        FindingList findings(file.name, document);
+        findings.addRepeatedMembers(traits.repeatedMembers);
+        return findings.take();
+    } catch (const Json::exception &) {
+        return {};
+    }
+}
+
 std::string_view harmName(ChangeHarm harm) noexcept
 {
     constexpr std::array<std::string_view, 5> names = {"removed", "narrowed", "replaced", "widened", "added"};
