Configuration check: limit the list of repeated members

The place of each repeated member may be as long as the text, so that a small file could exhaust the memory.

--- a/src/core/check.cpp
+++ b/src/core/check.cpp
@@ -28,6 +28,9 @@
 /// 7 levels.
 constexpr int maxDepth = 32;
 
+/// Each place may be as long as the text, so the places of all repeated members could exhaust the memory.
+constexpr std::size_t maxRepeatedMembers = 100;
+
 /// The identifier of a list entry, as in the places of diff(); empty when it has none.
 std::string entryName(const Json &entry)
 {
@@ -203,7 +206,8 @@
         Level &level = this->levels.back();
         const bool isNew = level.members.insert(member).second;
         level.member = std::move(member);
-        if (!isNew) {
+        const bool isTooDeep = this->levels.size() > maxDepth;
+        if (!isNew && !isTooDeep && this->traits.repeatedMembers.size() < maxRepeatedMembers) {
             this->traits.repeatedMembers.push_back(this->place());
         }
     }
--- a/tests/unit-check.cpp
+++ b/tests/unit-check.cpp
@@ -161,6 +161,7 @@
     CPPUNIT_TEST(modelsWithoutCostAreNotCompared);
     CPPUNIT_TEST(comparedFilesThatAreUnreadableAreNamed);
     CPPUNIT_TEST(longEntriesAreCheckedInLinearTime);
+    CPPUNIT_TEST(manyRepeatedMembersAreNotAllListed);
     CPPUNIT_TEST(filesOfNoKindAreUnreadable);
     CPPUNIT_TEST(damagedFilesGiveFindingsOrAReason);
     CPPUNIT_TEST_SUITE_END();
@@ -269,6 +270,18 @@
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds(20));
     }
 
+    /// Guards against a list of places that exhausts the memory.
+    void manyRepeatedMembersAreNotAllListed()
+    {
+        constexpr std::size_t repeats = 1000;
+        constexpr std::size_t listed = 100;
+        std::string members = "\"a\":1";
+        for (std::size_t i = 0; i < repeats; ++i) {
+            members += ",\"a\":1";
+        }
+        CPPUNIT_ASSERT_EQUAL(listed, findRepeatedMembers({"F", "{" + members + "}"}).size());
+    }
+
     /// Guards against "no findings" for a file that was not understood, and against a stack overflow.
     void filesOfNoKindAreUnreadable()
     {
