--- a/daemons/ctl/checkcommand.cpp
+++ b/daemons/ctl/checkcommand.cpp
@@ -1,6 +1,8 @@
 #include "commands.h"
 
 #include "parsleyvane/config/check.h"
+#include "platform/configurationcheck.h"
+#include "platform/configurationdiff.h"
 #include "platformtable.h"
 
 #include <absl/flags/flag.h>
@@ -16,6 +18,7 @@
 constexpr ExitCode isUnreadable = ExitCode::Usage;
 
 constexpr const char *runningVersion = "running";
+constexpr const char *platformFormat = "platform";
 
 std::optional<CheckedFile> readCheckedFile(const std::string &name, LastReason &reason)
 {
@@ -56,11 +59,35 @@
     return findings.empty() ? ExitCode::Ok : findingsExist;
 }
 
+/// Checks the platform's configuration, and compares it with the file `against` unless the name is empty.
+ExitCode checkPlatformFile(const CheckedFile &file, const std::string &against)
+{
+    if (against == runningVersion) {
+        return usageError("check compares the platform's configuration with a file only");
+    }
+    LastReason reason;
+    auto findings = platform::checkConfiguration(file, reason);
+    if (!findings || against.empty()) {
+        return findings ? reportFindings(*findings) : reportUnreadable(reason.failure());
+    }
+    const auto compared = readCheckedFile(against, reason);
+    const auto differences = compared ? platform::compareConfigurations(*compared, file, reason) : std::nullopt;
+    if (!differences) {
+        return reportUnreadable(reason.failure());
+    }
+    findings->insert(findings->end(), differences->begin(), differences->end());
+    return reportFindings(*findings);
+}
+
 } // namespace
 
 ExitCode runCheck(const Arguments &arguments)
 {
     const std::string against = absl::GetFlag(FLAGS_against);
+    const std::string format = absl::GetFlag(FLAGS_format);
+    if (!format.empty() && format != platformFormat) {
+        return usageError("--format must be platform");
+    }
     if (arguments.size() != 1) {
         return usageError("check expects one FILE");
     }
@@ -72,6 +99,9 @@
     if (!file) {
         return reportUnreadable(reason.failure());
     }
+    if (format == platformFormat || platform::isConfiguration(file->text)) {
+        return checkPlatformFile(*file, against);
+    }
     const auto compared = against.empty() ? std::nullopt : readAgainst(against, reason);
     if (!against.empty() && !compared) {
         return reportUnreadable(reason.failure());
--- a/include/parsleyvane/config/check.h
+++ b/include/parsleyvane/config/check.h
@@ -21,6 +21,15 @@
     Note, ///< a change that takes nothing away
 };
 
+/// @brief How much a change takes away, the most harmful first.
+enum class ChangeHarm {
+    Removed,
+    Narrowed,
+    Replaced, ///< another value that is neither less nor more, such as an address
+    Widened,
+    Added,
+};
+
 /// @brief Something in a file that an operator should look at.
 struct CheckFinding
 {
@@ -67,6 +76,12 @@
 /// @param reason InvalidConfiguration
 std::optional<Configuration> readComparedVersion(const CheckedFile &file, LastReason &reason);
 
+/// @brief Reports members that an object of a JSON text has twice; nothing for a text that cannot be parsed.
+std::vector<CheckFinding> findRepeatedMembers(const CheckedFile &file);
+
+/// @brief "removed", "narrowed", "replaced", "widened" or "added".
+std::string_view harmName(ChangeHarm harm) noexcept;
+
 /// @brief "error", "warning" or "note".
 std::string_view severityName(FindingSeverity severity) noexcept;
 
