Do not take a connect timeout for an exited process

Callers saw: requests refused as crashing their upstream, when the upstream was only paused or a packet was lost. Cause: hasProcessExited() took every failure to connect for an exit. Change: a connection that is not accepted in time proves nothing; HttpCall::isExpired() tells it from a refused one. Test: unit-net-crashprobe, aProcessThatAcceptsNoConnectionInTimeHasNotEnded (a listener whose queue is full), failed before and passes, 3 of 3 runs.

--- a/include/parsleyvane/net/crashprobe.h
+++ b/include/parsleyvane/net/crashprobe.h
@@ -16,7 +16,7 @@
  *
  * @param probe an unused call to the upstream
  * @return true when connecting fails, or the connection is lost before a response; false when the upstream sends any
- * response, or none before the timeout
+ * response, or accepts no connection or sends no response before the timeout
  */
 boost::asio::awaitable<bool> hasProcessExited(HttpCall &probe);
 
--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -113,6 +113,11 @@
     {
         return this->callProgress;
     }
+    /// @brief Whether a time limit of this call has ended it.
+    bool isExpired() const noexcept
+    {
+        return this->expired;
+    }
     /// @brief Whether the response was read to its end, no bytes follow it, and the peer keeps the connection open.
     bool reusable() const;
     /// @brief Whether an idle connection is open and has no unread bytes, as far as the local socket shows.
--- a/src/net/crashprobe.cpp
+++ b/src/net/crashprobe.cpp
@@ -13,7 +13,8 @@
 {
     LastReason reason;
     if (!co_await probe.connect(reason)) {
-        co_return true;
+        // A paused process or a lost packet also delays the connection.
+        co_return !probe.isExpired();
     }
     probe.setProgressLimit(probeResponseTimeout);
     const HttpRequest request = makeRequest(boost::beast::http::verb::get, "/load");
--- a/tests/unit-net-crashprobe.cpp
+++ b/tests/unit-net-crashprobe.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(aProcessThatClosesItsConnectionWithoutAnAnswerHasEnded);
     CPPUNIT_TEST(aProcessThatSendsAnyAnswerIsRunning);
     CPPUNIT_TEST(aSilentProcessHasNotEnded);
+    CPPUNIT_TEST(aProcessThatAcceptsNoConnectionInTimeHasNotEnded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -43,6 +44,23 @@
         CPPUNIT_ASSERT(!CrashProbeTest::endedAfter({"", true, true}));
     }
 
+    // Guards against taking a paused process, or a lost packet, for an exit.
+    void aProcessThatAcceptsNoConnectionInTimeHasNotEnded()
+    {
+        asio::io_context io;
+        asio::ip::tcp::acceptor acceptor(io, asio::ip::tcp::v4());
+        acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+        acceptor.listen(0);
+        const auto endpoint = acceptor.local_endpoint();
+        // The kernel ignores further connections once the listener's queue is full.
+        constexpr std::size_t connections = 4;
+        std::vector<asio::ip::tcp::socket> waiting;
+        for (std::size_t i = 0; i < connections; ++i) {
+            waiting.emplace_back(io).async_connect(endpoint, [](const boost::system::error_code &) {});
+        }
+        CPPUNIT_ASSERT(!CrashProbeTest::ended(io, endpoint));
+    }
+
 private:
     static bool endedAfter(const ScriptedResponse &response)
     {
