--- a/tests/unit-net-forward.cpp
+++ b/tests/unit-net-forward.cpp
@@ -329,8 +329,10 @@
         const std::string comment = "4\r\n: \n\n\r\n";
         const std::string begun = streamHead() + first + chunkedEvent(1) + note;
         const std::string rest = chunkedEvent(2) + done + "0\r\n\r\n";
+        std::string afterLastEvent = streamHead();
+        afterLastEvent.append(comment).append(note).append(rest);
         // The upstream that resumes the stream begins after the last event, or with all events.
-        for (const std::string &resumed : {streamHead() + comment + note + rest, begun + rest}) {
+        for (const std::string &resumed : {afterLastEvent, begun + rest}) {
             ForwardRig rig;
             rig.route("stream", Repeatability::Resumable, true);
             rig.upstream("u1", {{begun}, {resumed}});
