--- a/include/parsleyvane/ingress/hedgepolicy.h
+++ b/include/parsleyvane/ingress/hedgepolicy.h
@@ -106,8 +106,8 @@
     {
         return this->limits.maxShare > 0;
     }
-    /// @brief How long after its sending a request of this kind may be hedged: the quantile of its response times,
-    /// within limits that depend on the objective. Empty when neither is known.
+    /// @brief How long after its sending a request of this kind may be hedged: the quantile of its response times, or a
+    /// fraction of the objective while that is not known. Empty when neither is known.
     std::optional<Milliseconds> delay(const std::string &kind, Milliseconds objective, TimePoint now) const;
     /// @brief Whether a request that has waited for delay() is hedged.
     HedgeVerdict decide(const HedgeFacts &facts, TimePoint now) const;
