--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,8 @@
 # deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p target
+mkdir -p target/review
+g++ -std=c++20 -O1 -Wall -Wextra -pthread review/standins/standin.cc -o target/review/standin
 for source in review/standins-2/*.cc; do
     g++ -std=c++20 -O1 -o "target/review-$(basename "$source" .cc)" "$source" -lpthread
 done
