--- a/review/standins-2/heldbodies.cc
+++ b/review/standins-2/heldbodies.cc
@@ -1,6 +1,6 @@
 // One zone of the Txoko sheet: two machines, its rate of requests, bodies as long as the configuration's limit allows.
 // With TROUBLE, one of the two machines is lost. The platform kills a process that exceeds the machine's memory.
-#include "rig.h"
+#include "rig.hh"
 
 #include <set>
 
@@ -48,8 +48,9 @@
         }
         const std::string attempt = request.header("x-parsleyvane-attempt-id");
         if (request.header("x-parsleyvane-expect-instance") != id) {
-            sendAll(fd, "HTTP/1.1 421 Misdirected Request\r\nX-Parsleyvane-Instance-Id: " + id
-                            + "\r\nContent-Length: 0\r\n\r\n");
+            sendAll(fd,
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Parsleyvane-Instance-Id: " + id
+                        + "\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
         {
@@ -193,12 +194,21 @@
         Json route{{"name", kind.name},
                    {"host", "txoko.example"},
                    {"prefix", kind.path},
-                   {"kind", kind.events > 0 ? "streaming" : kind.repeatable ? "idempotent" : "non_idempotent"},
+                   {"kind",
+                    kind.events > 0       ? "streaming"
+                        : kind.repeatable ? "idempotent"
+                                          : "non_idempotent"},
                    {"timeout_ms", kind.events > 0 ? kind.deadlineMs : 800},
-                   {"target_latency_ms", kind.events == 76 ? 4000 : kind.events > 0 ? 2000 : 150},
+                   {"target_latency_ms",
+                    kind.events == 76     ? 4000
+                        : kind.events > 0 ? 2000
+                                          : 150},
                    {"priority", 1},
                    {"service", kind.events > 0 ? "parsley-llm" : "alokairu-app"},
-                   {"max_attempts", kind.events > 0 ? 3 : kind.repeatable ? 2 : 1},
+                   {"max_attempts",
+                    kind.events > 0       ? 3
+                        : kind.repeatable ? 2
+                                          : 1},
                    {"public", false}};
         if (kind.events > 0) {
             route["stream_resume"] = true;
@@ -219,15 +229,16 @@
         const int listener = listenAt(port);
         const std::string id = "i-" + std::to_string(number);
         serveAt(listener, [id](int fd) { serveRequests(fd, id); });
-        entries.emplace_back(id, Json{{"service", isModel ? "parsley-llm" : "alokairu-app"},
-                                      {"address", "127.0.0.1:" + std::to_string(port)},
-                                      {"zone", "bilbo-a"},
-                                      {"version", "v1"},
-                                      {"slots", isModel ? 48 : 6},
-                                      {"state", "ready"},
-                                      {"cold_remaining_ms", 0},
-                                      {"born", 1700000000000L + number},
-                                      {"sequence", 1}});
+        entries.emplace_back(id,
+                             Json{{"service", isModel ? "parsley-llm" : "alokairu-app"},
+                                  {"address", "127.0.0.1:" + std::to_string(port)},
+                                  {"zone", "bilbo-a"},
+                                  {"version", "v1"},
+                                  {"slots", isModel ? 48 : 6},
+                                  {"state", "ready"},
+                                  {"cold_remaining_ms", 0},
+                                  {"born", 1700000000000L + number},
+                                  {"sequence", 1}});
     }
     for (const auto &[id, entry] : entries) {
         store.put("servers", id, entry);
@@ -251,8 +262,8 @@
         daemon.operators = ports[i * 3 + 1];
         daemon.peers = ports[i * 3 + 2];
         daemon.start(folder,
-                     settingsOf(daemon, "bilbo-a",
-                                "bilbo-a = iparralde\ngasteiz-b = iparralde\niruna-c = iparralde\n", store.port));
+                     settingsOf(daemon, "bilbo-a", "bilbo-a = iparralde\ngasteiz-b = iparralde\niruna-c = iparralde\n",
+                                store.port));
     }
     const auto end = [&](int code) {
         for (Front &front : fronts) {
@@ -285,8 +296,8 @@
                 }
                 ++front.kills;
                 front.daemon.kill();
-                record.line("platform: %s holds %zu MB, more than memory_mb = 260: killed",
-                            front.daemon.name.c_str(), memory >> 20U);
+                record.line("platform: %s holds %zu MB, more than memory_mb = 260: killed", front.daemon.name.c_str(),
+                            memory >> 20U);
                 sleepMs(500);
                 front.daemon.restart();
             }
@@ -338,11 +349,13 @@
                     front.kills);
     }
     const bool isBroken = lostOnKept > 3;
-    record.line("%d served, %d refused or failed; closed after passing on: %d, of these from a kept channel and without "
-                "any answer: %d (more than 3 break LOST): %s",
-                served.load(), refused.load(), lostInAll.load(), lostOnKept.load(), isBroken ? "BROKEN" : "held");
+    record.line(
+        "%d served, %d refused or failed; closed after passing on: %d, of these from a kept channel and without "
+        "any answer: %d (more than 3 break LOST): %s",
+        served.load(), refused.load(), lostInAll.load(), lostOnKept.load(), isBroken ? "BROKEN" : "held");
     std::printf("served %d, refused %d, lost %d, of these on kept channels unanswered %d, peak %zu MB, kills %d\n",
                 served.load(), refused.load(), lostInAll.load(), lostOnKept.load(), fronts[1].peak >> 20U,
                 fronts[1].kills);
+    std::fflush(stdout);
     end(isBroken ? 1 : 0);
 }
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.hh
@@ -417,7 +417,8 @@
         for (const Json &entry : body.value("expected_revision", Json::array())) {
             const Key key{entry.at("table"), entry.at("part"), entry.at("key")};
             const auto found = this->rows.find(key);
-            const unsigned long current = found == this->rows.end() || found->second.removed ? 0 : found->second.version;
+            const unsigned long current
+                = found == this->rows.end() || found->second.removed ? 0 : found->second.version;
             holds = holds && current == entry.at("ver").get<unsigned long>();
             if (current > 0) {
                 conflicts.push_back(rowJson(key, found->second));
@@ -458,7 +459,8 @@
                 status = 404;
             }
             const std::string text = body.dump();
-            if (!sendAll(fd, "HTTP/1.1 " + std::to_string(status)
+            if (!sendAll(fd,
+                         "HTTP/1.1 " + std::to_string(status)
                              + " Status\r\nContent-Type: application/json\r\nContent-Length: "
                              + std::to_string(text.size()) + "\r\n\r\n" + text)) {
                 return;
@@ -560,8 +562,8 @@
     };
     return "[instance]\nid = " + daemon.name + "\nzone = " + zone
         + "\nfront = ingress\nprocessor-share = 0.25\nfirst-start = yes\n[zones]\n" + zones
-        + "[listen]\ncallers = " + at(daemon.callers) + "operators = " + at(daemon.operators) + "peers = "
-        + at(daemon.peers) + "[platform]\naddress = " + at(store)
+        + "[listen]\ncallers = " + at(daemon.callers) + "operators = " + at(daemon.operators)
+        + "peers = " + at(daemon.peers) + "[platform]\naddress = " + at(store)
         + "contracts = base,drain,config,cost,retry,recover,engine,stream,tenants,platform,rollout\n"
           "[limits]\nleast-confidence = 60\n"
           "[bounds]\nchange-ms = 2000\nleaving-ms = 2000\nevidence-ms = 5000\nstable-ms = 3000\ngrace-s = 8\n"
