Reject responses whose status code is none of HTTP's

Callers saw: an upstream's status 600 or 999 passed on as the answer, on each kind of route. A status of 000 to 099 was taken for an interim response and skipped, and its body was parsed as the next response: where the body was itself an answer, callers got that as 200. With an empty body on a connection that stays open they got 504 at the deadline (1,160 ms in the test), and another upstream got its chance only after the silence limit. parsleyvanectl, the list of instances and the load reports of engines accepted all of these codes.

Cause: Beast's parser takes any three digits, and readers judged the number each for itself. "Below 200" was the test for an interim response.

Change: HttpCall, through which every response is read, asks findHeadDefect() about each head. Codes outside 100 to 599 (RFC 9110, section 15) make it no response, and so does 101, since no request asks for an upgrade (section 7.8). The failure is bad-upstream-data with an unknown run state; the connection is closed and not used again.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "parsleyvane/core/failure.h"
+#include "parsleyvane/net/responsesyntax.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -80,7 +81,8 @@
     boost::asio::awaitable<std::optional<int>> readHead(LastReason &reason);
     /**
      * @brief Reads the bytes of the body that arrive next. @pre readHead() succeeded @param reason as readWhole()
-     * @return the bytes; an empty string at the end of the body; nothing when the read failed
+     * @return the bytes; an empty string at the end of the body; nothing when the read failed. Only the end shows that
+     * the response was well-formed.
      */
     boost::asio::awaitable<std::optional<std::string>> readSome(LastReason &reason);
     /// @brief Sets the time limit for later sends and reads.
@@ -136,6 +138,8 @@
 private:
     using HeadParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    /// Closes the connection: where a malformed response ends is unknown.
+    std::nullopt_t rejectResponse(std::string defect, LastReason &reason);
     Failure failureOf(const boost::system::error_code &error) const;
     void setDeadline(Milliseconds limit);
     void armWatchdog();
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -151,8 +151,8 @@
 
 bool HttpCall::reusable() const
 {
-    return this->parser && this->parser->is_done() && this->buffer.size() == 0 && this->parser->get().keep_alive()
-        && !this->parser->get().need_eof();
+    return this->socket.is_open() && this->parser && this->parser->is_done() && this->buffer.size() == 0
+        && this->parser->get().keep_alive() && !this->parser->get().need_eof();
 }
 
 bool HttpCall::isOpen()
@@ -221,10 +221,23 @@
         reason.fail(this->failureOf(error));
         co_return std::nullopt;
     }
+    if (auto defect = findHeadDefect(this->parser->get())) {
+        co_return this->rejectResponse(std::move(*defect), reason);
+    }
     this->callProgress.status = this->parser->get().result_int();
     co_return this->callProgress.status;
 }
 
+std::nullopt_t HttpCall::rejectResponse(std::string defect, LastReason &reason)
+{
+    this->close();
+    return reason.fail({.id = ErrorId::BadUpstreamData,
+                        .step = this->callProgress.step,
+                        .peer = this->peer,
+                        .runState = RunState::Unknown,
+                        .detail = std::move(defect)});
+}
+
 asio::awaitable<std::optional<std::string>> HttpCall::readSome(LastReason &reason)
 {
     while (!this->parser->is_done()) {
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -47,19 +47,26 @@
     std::function<void()> onUpstreamRequest; ///< before a request is sent to an upstream
 };
 
+/// @brief Limits of the ingress under test.
+struct ForwardRigLimits
+{
+    LogLimits log{.linesPerSecond = 0};
+    ServerLimits server{.requestTimeout = Milliseconds(300), .idleTimeout = Milliseconds(3000)};
+};
+
 /// @brief The ingress under test.
 class ForwardRig
 {
 public:
-    ForwardRig()
+    explicit ForwardRig(const ForwardRigLimits &limits = {})
         : platform(this->io.get_executor(), asio::ip::tcp::endpoint())
-        , log(this->io, {.linesPerSecond = 0})
+        , log(this->io, limits.log)
         , context{.io = this->io,
                   .platform = this->platform,
                   .metrics = this->metrics,
                   .log = this->log,
                   .zone = ZoneId("a")}
-        , server(this->io, {.requestTimeout = Milliseconds(300), .idleTimeout = Milliseconds(3000)},
+        , server(this->io, limits.server,
                  [this](Exchange &exchange) -> asio::awaitable<void> {
                      ForwardedRequest request(this->context, exchange);
                      co_await request.run();
@@ -122,6 +129,17 @@
                                .services = {{ServiceName("s"), 1}}});
     }
 
+    /// @brief Enables hedges on the route, as if many answers had taken this long.
+    void hedge(const std::string &routeName, Milliseconds usual)
+    {
+        constexpr int samples = 100;
+        this->context.hedges.setShare(0.5, Milliseconds(10000));
+        for (int number = 0; number < samples; ++number) {
+            this->context.hedges.onRequest(ServiceName("s"), bootClockNow());
+            this->context.hedges.onResponse(hedgeKind(routeName + "/0", 0), usual, bootClockNow());
+        }
+    }
+
     /// @brief Replaces the configuration; the one before is destroyed unless a request still owns it.
     void reconfigure(const std::shared_ptr<RouteTable> &next)
     {
@@ -224,6 +242,9 @@
 /// @brief Header line of an answer by the upstream's application.
 inline const std::string signatureHeader = "X-Parsleyvane-Server-Signature: sig\r\n";
 
+/// @brief The store's answer to a read of a table without rows.
+inline const std::string emptyTableContent = R"({"rows":[],"has_more":false,"ver":9,"now_ms":5})";
+
 /// @brief Header line of a refusal by an upstream that has not run the request.
 inline const std::string notExecutedHeader = "X-Parsleyvane-Not-Executed: 1\r\n";
 
--- a/tests/scriptedupstream.h
+++ b/tests/scriptedupstream.h
@@ -26,6 +26,7 @@
     std::chrono::milliseconds pause{20};
     std::function<std::string(unsigned)> nextPiece; ///< called for pieces that are sent until the client closes
     std::chrono::milliseconds pieceInterval{0};
+    std::function<std::string(const std::string &request)> answerTo; ///< makes the answer, instead of the text
 };
 
 /// @brief An upstream that sends its scripted answers in order and repeats the last one.
@@ -90,10 +91,13 @@
             }
             self->requests.push_back(bytes.substr(0, requestEnd(bytes)));
             bytes.erase(0, requestEnd(bytes));
-            const ScriptedResponse response = self->scriptedResponses.front();
+            ScriptedResponse response = self->scriptedResponses.front();
             if (self->scriptedResponses.size() > 1) {
                 self->scriptedResponses.pop_front();
             }
+            if (response.answerTo) {
+                response.answer = response.answerTo(self->requests.back());
+            }
             boost::system::error_code error;
             const auto answer = asio::buffer(response.answer);
             co_await asio::async_write(socket, answer, asio::redirect_error(asio::use_awaitable, error));
--- /dev/null
+++ b/tests/unit-net-forward-answers.cpp
@@ -0,0 +1,182 @@
+#include "suite.h"
+
+#include "forwardrig.h"
+#include "rawanswer.h"
+
+namespace parsleyvane::test {
+
+namespace {
+
+/// Kinds of routes, by what may follow after an answer that is unusable.
+enum class RouteKind { Plain, Unsafe, Stream, ResumedStream };
+
+constexpr std::array routeKinds = {RouteKind::Plain, RouteKind::Unsafe, RouteKind::Stream, RouteKind::ResumedStream};
+/// Well before the deadline, which is that of an upstream that stays silent.
+constexpr Milliseconds promptly{900};
+const std::string lastChunk = "0\r\n\r\n";
+const std::string events = "id: 2\ndata: y\n\nid: 3\ndata: z\n\n";
+
+bool isStream(RouteKind kind)
+{
+    return kind == RouteKind::Stream || kind == RouteKind::ResumedStream;
+}
+
+/// Neither requests that may run only once nor streams that have begun are hedged.
+bool isHedged(RouteKind kind)
+{
+    return kind == RouteKind::Plain || kind == RouteKind::Stream;
+}
+
+RawAnswer soundAnswer(RouteKind kind)
+{
+    std::string content = isStream(kind) ? events : "the body";
+    if (kind == RouteKind::Stream) {
+        content.insert(0, "id: 1\ndata: x\n\n");
+    }
+    const std::string lines = requestIdHeader() + signatureHeader;
+    return RawAnswer::withLength({lines + "X-Marker: 1", "Content-Type: text/event-stream"}, content);
+}
+
+/// An ingress with one route and two upstreams, of which "u" is chosen first.
+class AnswerRig : public ForwardRig
+{
+public:
+    explicit AnswerRig(RouteKind kind, bool hedges = false)
+        : kind(kind)
+        , hedges(hedges)
+    {
+        const Repeatability repeat = isStream(kind) ? Repeatability::Resumable
+            : kind == RouteKind::Plain              ? Repeatability::Always
+                                                    : Repeatability::Once;
+        this->route("r", repeat, isStream(kind));
+        if (hedges) {
+            this->hedge("r", Milliseconds(5));
+        }
+    }
+
+    /// The first upstream begins a stream that is to be resumed, and sends its own answer late if there is a hedge.
+    ScriptedUpstream &first(const std::string &answer, bool closes)
+    {
+        std::deque<ScriptedResponse> responses;
+        if (this->kind == RouteKind::ResumedStream) {
+            responses.push_back({streamHead() + chunkedEvent(1)});
+        }
+        ScriptedResponse response{.answer = answer, .closesConnection = closes};
+        if (this->hedges) {
+            response
+                = {.answer = "", .closesConnection = closes, .rest = answer, .pause = std::chrono::milliseconds(20)};
+        }
+        responses.push_back(response);
+        return this->upstream("u", responses);
+    }
+
+    ScriptedUpstream &second(const std::string &answer, bool closes)
+    {
+        return this->remoteUpstream("v", {{.answer = answer, .closesConnection = closes}});
+    }
+
+    std::string send()
+    {
+        const TimePoint startedAt = bootClockNow();
+        std::string answer = this->exchange(clientRequest("/r/"));
+        this->took = bootClockNow() - startedAt;
+        return answer;
+    }
+
+    Milliseconds took{0};
+
+private:
+    RouteKind kind;
+    bool hedges;
+};
+
+/// No part of an upstream's answer may reach the client, which learns that its request may have run.
+void expectNoAnswer(RouteKind kind, bool hedges, const AnswerChange &change, bool closes)
+{
+    AnswerRig rig(kind, hedges);
+    const std::string broken = change.changed(soundAnswer(kind));
+    rig.first(broken, closes);
+    rig.second(broken, closes);
+    const std::string answer = rig.send();
+    const std::string what = change.name + ", route " + std::to_string(static_cast<int>(kind))
+        + (hedges ? ", hedged" : "") + (closes ? ", closed: " : ", kept open: ") + answer;
+    CPPUNIT_ASSERT_MESSAGE(what, rig.took < promptly);
+    if (kind == RouteKind::ResumedStream) {
+        CPPUNIT_ASSERT_MESSAGE(what, answer.find("id: 1\n") != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(what, answer.find("id: 2\n") == std::string::npos && !answer.ends_with(lastChunk));
+        return;
+    }
+    CPPUNIT_ASSERT_MESSAGE(what, answer.starts_with("HTTP/1.1 502"));
+    CPPUNIT_ASSERT_MESSAGE(what, answer.find(R"("run":"unknown")") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(what, answer.find("X-Marker") == std::string::npos);
+}
+
+void expectNoAnswer(const std::vector<AnswerChange> &changes)
+{
+    for (const AnswerChange &change : changes) {
+        for (const RouteKind kind : routeKinds) {
+            expectNoAnswer(kind, false, change, true);
+            expectNoAnswer(kind, false, change, false);
+            if (isHedged(kind)) {
+                expectNoAnswer(kind, true, change, false);
+            }
+        }
+    }
+}
+
+std::string contentOf(const std::string &answer)
+{
+    std::string content;
+    std::size_t at = answer.find("\r\n\r\n") + 4;
+    if (answer.find("Transfer-Encoding: chunked") > at) {
+        return answer.substr(at);
+    }
+    for (std::size_t size = std::stoul(answer.substr(at), nullptr, 16); size > 0;
+         size = std::stoul(answer.substr(at), nullptr, 16)) {
+        at = answer.find("\r\n", at) + 2;
+        content.append(answer.substr(at, size));
+        at += size + 2;
+    }
+    return content;
+}
+
+} // namespace
+
+/// Answers that are not well-formed HTTP/1.1, and unusual ones that are, on each kind of route.
+class AnswerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AnswerTest);
+    CPPUNIT_TEST(anInvalidStatusCodeIsNoAnswer);
+    CPPUNIT_TEST(anotherUpstreamAnswersWhereARepeatIsAllowed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void anInvalidStatusCodeIsNoAnswer()
+    {
+        expectNoAnswer(invalidStatusCodes());
+    }
+
+    void anotherUpstreamAnswersWhereARepeatIsAllowed()
+    {
+        for (const AnswerChange &change : {invalidStatusCodes().front(), invalidStatusCodes().back()}) {
+            for (const RouteKind kind : routeKinds) {
+                AnswerRig rig(kind);
+                rig.first(change.changed(soundAnswer(kind)), false);
+                const ScriptedUpstream &other = rig.second(soundAnswer(kind).text(), true);
+                const std::string answer = rig.send();
+                if (kind == RouteKind::Unsafe) {
+                    CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 502"));
+                    CPPUNIT_ASSERT(other.requests.empty());
+                    continue;
+                }
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.requests.size());
+                const std::string expected = isStream(kind) ? "id: 1\ndata: x\n\n" + events : "the body";
+                CPPUNIT_ASSERT_EQUAL(expected, contentOf(answer));
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AnswerTest);
+
+} // namespace parsleyvane::test
--- a/tests/unit-net-forward-hedge.cpp
+++ b/tests/unit-net-forward-hedge.cpp
@@ -25,11 +25,7 @@
     explicit HedgeRig(Repeatability repeat = Repeatability::Always, bool streams = false)
     {
         this->route("r", repeat, streams);
-        this->context.hedges.setShare(0.5, Milliseconds(10000));
-        for (int number = 0; number < 100; ++number) {
-            this->context.hedges.onRequest(ServiceName("s"), bootClockNow());
-            this->context.hedges.onResponse(hedgeKind("r/0", 0), Milliseconds(15), bootClockNow());
-        }
+        this->hedge("r", Milliseconds(15));
     }
 
     ScriptedUpstream &first(const ScriptedResponse &response)
