Reject transfer codings other than chunked

Callers saw: an answer with "Transfer-Encoding: xchunked" (identity, gzip, "chunked, chunked" and others alike) as 200, with the coded bytes for its body and a Content-Length of ours. With "gzip, chunked" or a chunked response of HTTP/1.0 the chunks were decoded, and the rest of the coding, or of the doubt, went unmentioned. All other readers accepted the same.

Cause: Beast's parser notes chunked where it is the last coding, and reads any other response without a length up to the close. Nobody looked at the field again, and forwarding drops it.

Change: findHeadDefect() accepts the field only if its lines name chunked and nothing else, as one list element in an HTTP/1.1 response (RFC 9112, sections 6.1 and 6.3). The router offers no other coding in TE.

--- a/include/parsleyvane/net/responsesyntax.h
+++ b/include/parsleyvane/net/responsesyntax.h
@@ -15,8 +15,8 @@
 
 /**
  * @brief Reports the first defect of a response's head, such as "status 000"; nothing when there is none.
- * @param head the head as parsed
+ * @param head the head as parsed @param isChunked whether the parser decodes the body as chunked
  */
-std::optional<std::string> findHeadDefect(const boost::beast::http::response_header<> &head);
+std::optional<std::string> findHeadDefect(const boost::beast::http::response_header<> &head, bool isChunked);
 
 } // namespace parsleyvane
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -221,7 +221,7 @@
         reason.fail(this->failureOf(error));
         co_return std::nullopt;
     }
-    if (auto defect = findHeadDefect(this->parser->get())) {
+    if (auto defect = findHeadDefect(this->parser->get(), this->parser->chunked())) {
         co_return this->rejectResponse(std::move(*defect), reason);
     }
     this->callProgress.status = this->parser->get().result_int();
--- a/src/net/responsesyntax.cpp
+++ b/src/net/responsesyntax.cpp
@@ -1,13 +1,17 @@
 #include "parsleyvane/net/responsesyntax.h"
 
 #include <algorithm>
+#include <boost/beast/http/rfc7230.hpp>
 
 namespace parsleyvane {
 
+namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
 namespace {
 
+constexpr unsigned http11 = 11;
+
 bool isValidStatus(unsigned status)
 {
     constexpr unsigned firstCode = 100;
@@ -24,13 +28,44 @@
     return std::string(digits - std::min(digits, text.size()), '0') + text;
 }
 
+/// Whether the fields name the transfer coding chunked and no other; empty list elements count for nothing.
+bool namesChunkedOnly(const http::response_header<> &head)
+{
+    std::size_t codings = 0;
+    for (const auto &field : head) {
+        if (field.name() != http::field::transfer_encoding) {
+            continue;
+        }
+        const http::opt_token_list list(field.value());
+        if (!http::validate_list(list)) {
+            return false;
+        }
+        for (const beast::string_view coding : list) {
+            if (!beast::iequals(coding, "chunked")) {
+                return false;
+            }
+            ++codings;
+        }
+    }
+    return codings == 1;
+}
+
 } // namespace
 
-std::optional<std::string> findHeadDefect(const http::response_header<> &head)
+std::optional<std::string> findHeadDefect(const http::response_header<> &head, bool isChunked)
 {
     if (!isValidStatus(head.result_int())) {
         return "status " + statusText(head.result_int());
     }
+    if (head.count(http::field::transfer_encoding) == 0) {
+        return std::nullopt;
+    }
+    if (head.version() < http11) {
+        return "transfer coding in an HTTP/1.0 response";
+    }
+    if (!isChunked || !namesChunkedOnly(head)) {
+        return "unsupported transfer coding";
+    }
     return std::nullopt;
 }
 
--- a/tests/rawanswer.h
+++ b/tests/rawanswer.h
@@ -4,12 +4,22 @@
  */
 #pragma once
 
+#include <array>
+#include <cstdio>
 #include <functional>
 #include <string>
 #include <vector>
 
 namespace parsleyvane::test {
 
+/// @brief A chunk of the chunked transfer coding.
+inline std::string chunk(const std::string &content)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx", content.size());
+    return std::string(size.data()) + "\r\n" + content + "\r\n";
+}
+
 /// @brief An answer whose parts can be changed one by one.
 struct RawAnswer
 {
@@ -34,6 +44,14 @@
         this->body = bytes;
     }
 
+    /// @brief Sends the content in two chunks.
+    void setChunked(const std::string &ending = "0\r\n\r\n")
+    {
+        constexpr std::size_t firstBytes = 1;
+        this->framing = {"Transfer-Encoding: chunked"};
+        this->body = chunk(this->content.substr(0, firstBytes)) + chunk(this->content.substr(firstBytes)) + ending;
+    }
+
     std::string text() const
     {
         std::string bytes = this->statusLine + "\r\n";
@@ -80,4 +98,34 @@
     return changes;
 }
 
+/// @brief Transfer codings other than chunked alone (RFC 9112, sections 6.1 and 6.3).
+inline std::vector<AnswerChange> unsupportedCodings()
+{
+    std::vector<AnswerChange> changes;
+    for (const std::string value :
+         {"xchunked", "identity", "gzip", "gzip, chunked", "chunked, gzip", "identity, chunked", "chunked, identity",
+          "chunked, chunked", "chunked;q=1", "chunked chunked", "\"chunked\"", ""}) {
+        changes.push_back({"transfer coding " + value, [value](RawAnswer &answer) {
+                               answer.setChunked();
+                               answer.framing = {"Transfer-Encoding: " + value};
+                           }});
+    }
+    changes.push_back({"two lines of codings", [](RawAnswer &answer) {
+                           answer.setChunked();
+                           answer.framing = {"Transfer-Encoding: identity", "Transfer-Encoding: chunked"};
+                       }});
+    changes.push_back({"length and chunked", [](RawAnswer &answer) {
+                           answer.setChunked();
+                           answer.framing.push_back("Content-Length: " + std::to_string(answer.body.size()));
+                       }});
+    changes.push_back({"length and another coding", [](RawAnswer &answer) {
+                           answer.framing.push_back("Transfer-Encoding: identity");
+                       }});
+    changes.push_back({"chunked in HTTP/1.0", [](RawAnswer &answer) {
+                           answer.setChunked();
+                           answer.statusLine = "HTTP/1.0 200 OK";
+                       }});
+    return changes;
+}
+
 } // namespace parsleyvane::test
--- a/tests/unit-net-answers.cpp
+++ b/tests/unit-net-answers.cpp
@@ -374,6 +374,7 @@
 {
     CPPUNIT_TEST_SUITE(ReadersTest);
     CPPUNIT_TEST(noReaderAcceptsAnInvalidStatusCode);
+    CPPUNIT_TEST(noReaderAcceptsAnUnsupportedTransferCoding);
     CPPUNIT_TEST(aMalformedAnswerIsNoCrash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -383,9 +384,14 @@
         expectRejected(invalidStatusCodes());
     }
 
+    void noReaderAcceptsAnUnsupportedTransferCoding()
+    {
+        expectRejected(unsupportedCodings());
+    }
+
     void aMalformedAnswerIsNoCrash()
     {
-        for (const auto &changes : {invalidStatusCodes()}) {
+        for (const auto &changes : {invalidStatusCodes(), unsupportedCodings()}) {
             const RawAnswer sound = RawAnswer::withLength({"Content-Type: application/json"}, loadContent);
             asio::io_context io;
             ScriptedUpstream upstream(io, "u");
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -147,6 +147,7 @@
 {
     CPPUNIT_TEST_SUITE(AnswerTest);
     CPPUNIT_TEST(anInvalidStatusCodeIsNoAnswer);
+    CPPUNIT_TEST(anUnsupportedTransferCodingIsNoAnswer);
     CPPUNIT_TEST(anotherUpstreamAnswersWhereARepeatIsAllowed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -156,9 +157,14 @@
         expectNoAnswer(invalidStatusCodes());
     }
 
+    void anUnsupportedTransferCodingIsNoAnswer()
+    {
+        expectNoAnswer(unsupportedCodings());
+    }
+
     void anotherUpstreamAnswersWhereARepeatIsAllowed()
     {
-        for (const AnswerChange &change : {invalidStatusCodes().front(), invalidStatusCodes().back()}) {
+        for (const AnswerChange &change : {invalidStatusCodes().front(), unsupportedCodings().front()}) {
             for (const RouteKind kind : routeKinds) {
                 AnswerRig rig(kind);
                 rig.first(change.changed(soundAnswer(kind)), false);
--- a/tests/unit-net-forward-endless.cpp
+++ b/tests/unit-net-forward-endless.cpp
@@ -1,9 +1,11 @@
 #include "suite.h"
 
 #include "forwardrig.h"
+#include "rawanswer.h"
 
 namespace parsleyvane {
 
+using test::chunk;
 using test::chunkedEvent;
 using test::clientRequest;
 using test::deadlineHeader;
@@ -58,13 +60,6 @@
     };
 }
 
-std::string chunk(const std::string &text)
-{
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx", text.size());
-    return std::string(size.data()) + "\r\n" + text + "\r\n";
-}
-
 ScriptedResponse fastResponse(const std::string &begin, const std::string &text)
 {
     return {.answer = begin, .nextPiece = fast(text)};
