Test malformed field lines on each route and at each reader

A report from other systems: a field name with a blank or a control byte reached the client. Here Beast's parser rejects such names, also a blank before the colon, control bytes in values, and a CR or LF alone, at each reader; the caller gets 502 with an unknown run state.

--- a/tests/rawanswer.h
+++ b/tests/rawanswer.h
@@ -98,6 +98,39 @@
     return changes;
 }
 
+/// @brief Malformed field lines (RFC 9112, section 5), each as the first field and as the last one.
+inline std::vector<AnswerChange> malformedFields()
+{
+    const std::vector<std::string> lines = {"X Any: 1",
+                                            "X-Any : 1",
+                                            "X-Any\t: 1",
+                                            "X-A\tny: 1",
+                                            "X-A\x01ny: 1",
+                                            "X-A\x7fny: 1",
+                                            std::string("X-A\0ny: 1", 9),
+                                            "X-A\x80ny: 1",
+                                            "X-A\nX-B: 1",
+                                            "X-A\rX-B: 1",
+                                            ": 1",
+                                            "X-Any",
+                                            "X-Any: a\x01z",
+                                            std::string("X-Any: a\0z", 10),
+                                            "X-Any: a\rz",
+                                            "X-Any: a\nz",
+                                            "Content-Length : 1",
+                                            "Transfer-Encoding : chunked"};
+    std::vector<AnswerChange> changes;
+    for (const std::string &line : lines) {
+        changes.push_back({"first field " + line, [line](RawAnswer &answer) {
+                               answer.fields.insert(answer.fields.begin(), line);
+                           }});
+        changes.push_back({"last field " + line, [line](RawAnswer &answer) {
+                               answer.framing.push_back(line);
+                           }});
+    }
+    return changes;
+}
+
 /// @brief Transfer codings other than chunked alone (RFC 9112, sections 6.1 and 6.3).
 inline std::vector<AnswerChange> unsupportedCodings()
 {
--- a/tests/unit-net-answers.cpp
+++ b/tests/unit-net-answers.cpp
@@ -374,6 +374,7 @@
 {
     CPPUNIT_TEST_SUITE(ReadersTest);
     CPPUNIT_TEST(noReaderAcceptsAnInvalidStatusCode);
+    CPPUNIT_TEST(noReaderAcceptsAMalformedField);
     CPPUNIT_TEST(noReaderAcceptsAnUnsupportedTransferCoding);
     CPPUNIT_TEST(aMalformedAnswerIsNoCrash);
     CPPUNIT_TEST_SUITE_END();
@@ -384,6 +385,11 @@
         expectRejected(invalidStatusCodes());
     }
 
+    void noReaderAcceptsAMalformedField()
+    {
+        expectRejected(malformedFields());
+    }
+
     void noReaderAcceptsAnUnsupportedTransferCoding()
     {
         expectRejected(unsupportedCodings());
@@ -391,7 +397,7 @@
 
     void aMalformedAnswerIsNoCrash()
     {
-        for (const auto &changes : {invalidStatusCodes(), unsupportedCodings()}) {
+        for (const auto &changes : {invalidStatusCodes(), malformedFields(), unsupportedCodings()}) {
             const RawAnswer sound = RawAnswer::withLength({"Content-Type: application/json"}, loadContent);
             asio::io_context io;
             ScriptedUpstream upstream(io, "u");
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -147,6 +147,7 @@
 {
     CPPUNIT_TEST_SUITE(AnswerTest);
     CPPUNIT_TEST(anInvalidStatusCodeIsNoAnswer);
+    CPPUNIT_TEST(aMalformedFieldIsNoAnswer);
     CPPUNIT_TEST(anUnsupportedTransferCodingIsNoAnswer);
     CPPUNIT_TEST(anotherUpstreamAnswersWhereARepeatIsAllowed);
     CPPUNIT_TEST_SUITE_END();
@@ -157,6 +158,11 @@
         expectNoAnswer(invalidStatusCodes());
     }
 
+    void aMalformedFieldIsNoAnswer()
+    {
+        expectNoAnswer(malformedFields());
+    }
+
     void anUnsupportedTransferCodingIsNoAnswer()
     {
         expectNoAnswer(unsupportedCodings());
