Reject folded field lines

Callers saw: an answer in whose head a line began with a blank, joined to the line before. Where that line was the answer's Content-Length, the body was whatever came until the connection closed. It is the form of the reported blank in a field's name that the parser does not reject. All other readers accepted it too.

Cause: Beast's parser replaces a line fold by a blank, as RFC 9112, section 5.2, permits. The section permits an error instead, and no sender may fold lines, so that the line is either malformed or hides what it says.

Change: HttpCall's buffer records the lines of the head, and of the last chunk with its trailers, as the parser consumes them; findHeadDefect() and findTrailerDefect() reject folds. The bytes of the head are copied once more for this.

Evidence: aFoldedFieldIsNoAnswer and noReaderAcceptsAFoldedField fail on: "later field X-Any: 1", "hidden length" and "folded trailer" as 200. A fold in the first line was rejected before. Opposite error: an upstream that folds values now gets bad_data.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -11,7 +11,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
 #include <functional>
@@ -140,6 +139,7 @@
     using ChunkHandler
         = std::function<void(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &)>;
 
+    void onChunk(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error);
     /// Closes the connection: where a malformed response ends is unknown.
     std::nullopt_t rejectResponse(std::string defect, LastReason &reason);
     Failure failureOf(const boost::system::error_code &error) const;
@@ -152,7 +152,7 @@
     CallLimits limits;
     CallProgress callProgress;
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    RecordingBuffer buffer;
     std::optional<HeadParser> parser;
     ChunkHandler chunkHandler; ///< the parser refers to it
     /// One timer per call, armed again on expiry if the deadline has moved; a timer per read would cost more than the
--- a/include/parsleyvane/net/responsesyntax.h
+++ b/include/parsleyvane/net/responsesyntax.h
@@ -7,6 +7,7 @@
  */
 #pragma once
 
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <optional>
 #include <string>
@@ -16,11 +17,42 @@
 
 /**
  * @brief Reports the first defect of a response's head, such as "status 000"; nothing when there is none.
- * @param head the head as parsed @param isChunked whether the parser decodes the body as chunked
+ * @param head the head as parsed @param lines its bytes @param isChunked whether the parser decodes the body as chunked
  */
-std::optional<std::string> findHeadDefect(const boost::beast::http::response_header<> &head, bool isChunked);
+std::optional<std::string> findHeadDefect(const boost::beast::http::response_header<> &head, std::string_view lines,
+                                          bool isChunked);
+
+/// @brief Reports a defect of the last chunk and the trailer section, as findHeadDefect().
+std::optional<std::string> findTrailerDefect(std::string_view lines);
 
 /// @brief Whether the extensions of a chunk hold a control character. The parser does not check quoted strings.
 bool hasControlCharacter(std::string_view chunkExtensions);
 
+/**
+ * @brief A buffer that keeps a copy of what is consumed while it is recording.
+ *
+ * A parser consumes lines as it parses them, and joins folded ones.
+ */
+class RecordingBuffer : public boost::beast::flat_buffer
+{
+public:
+    // constructors
+    explicit RecordingBuffer(std::size_t maxBytes)
+        : boost::beast::flat_buffer(maxBytes)
+    {
+    }
+
+    // modifiers
+    /// @brief Starts a new recording.
+    void startRecording();
+    /// @brief Ends the recording. @return the bytes consumed since it was started; empty when there is none
+    std::string stopRecording();
+    /// @brief Removes bytes from the beginning of the readable ones.
+    void consume(std::size_t count);
+
+private:
+    bool isRecording = false;
+    std::string recorded;
+};
+
 } // namespace parsleyvane
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -27,10 +27,8 @@
     , limits(limits)
     , socket(executor)
     , buffer(maxUnparsedBytes)
-    , chunkHandler([](std::uint64_t, boost::beast::string_view extensions, boost::system::error_code &error) {
-        if (hasControlCharacter({extensions.data(), extensions.size()})) {
-            error = http::error::bad_chunk_extension;
-        }
+    , chunkHandler([this](std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error) {
+        this->onChunk(size, extensions, error);
     })
     , watchdog(executor)
     , readBuffer(readBufferBytes)
@@ -219,21 +217,33 @@
     this->parser.emplace();
     this->parser->body_limit(this->limits.bodyBytes);
     this->parser->on_chunk_header(this->chunkHandler);
+    this->buffer.startRecording();
     this->setDeadline(this->limits.progress);
     co_await http::async_read_header(this->socket, this->buffer, *this->parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     this->isWaiting = false;
+    const std::string lines = this->buffer.stopRecording();
     if (error) {
         reason.fail(this->failureOf(error));
         co_return std::nullopt;
     }
-    if (auto defect = findHeadDefect(this->parser->get(), this->parser->chunked())) {
+    if (auto defect = findHeadDefect(this->parser->get(), lines, this->parser->chunked())) {
         co_return this->rejectResponse(std::move(*defect), reason);
     }
     this->callProgress.status = this->parser->get().result_int();
     co_return this->callProgress.status;
 }
 
+void HttpCall::onChunk(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error)
+{
+    if (hasControlCharacter({extensions.data(), extensions.size()})) {
+        error = http::error::bad_chunk_extension;
+    }
+    if (size == 0) {
+        this->buffer.startRecording();
+    }
+}
+
 std::nullopt_t HttpCall::rejectResponse(std::string defect, LastReason &reason)
 {
     this->close();
@@ -266,6 +276,9 @@
             co_return std::nullopt;
         }
     }
+    if (auto defect = findTrailerDefect(this->buffer.stopRecording())) {
+        co_return this->rejectResponse(std::move(*defect), reason);
+    }
     co_return std::string();
 }
 
--- a/src/net/responsesyntax.cpp
+++ b/src/net/responsesyntax.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/rfc7230.hpp>
+#include <utility>
 
 namespace parsleyvane {
 
@@ -50,13 +51,21 @@
     return codings == 1;
 }
 
+bool hasFoldedLine(std::string_view lines)
+{
+    return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
-std::optional<std::string> findHeadDefect(const http::response_header<> &head, bool isChunked)
+std::optional<std::string> findHeadDefect(const http::response_header<> &head, std::string_view lines, bool isChunked)
 {
     if (!isValidStatus(head.result_int())) {
         return "status " + statusText(head.result_int());
     }
+    if (hasFoldedLine(lines)) {
+        return "folded field line";
+    }
     if (head.count(http::field::transfer_encoding) == 0) {
         return std::nullopt;
     }
@@ -69,6 +78,11 @@
     return std::nullopt;
 }
 
+std::optional<std::string> findTrailerDefect(std::string_view lines)
+{
+    return hasFoldedLine(lines) ? std::optional<std::string>("folded trailer line") : std::nullopt;
+}
+
 bool hasControlCharacter(std::string_view chunkExtensions)
 {
     constexpr unsigned char firstPrintable = 0x20;
@@ -79,4 +93,25 @@
     });
 }
 
+void RecordingBuffer::startRecording()
+{
+    this->isRecording = true;
+    this->recorded.clear();
+}
+
+std::string RecordingBuffer::stopRecording()
+{
+    this->isRecording = false;
+    return std::exchange(this->recorded, {});
+}
+
+void RecordingBuffer::consume(std::size_t count)
+{
+    if (this->isRecording) {
+        const auto readable = this->data();
+        this->recorded.append(static_cast<const char *>(readable.data()), std::min(count, readable.size()));
+    }
+    this->beast::flat_buffer::consume(count);
+}
+
 } // namespace parsleyvane
--- a/tests/rawanswer.h
+++ b/tests/rawanswer.h
@@ -132,6 +132,29 @@
     return changes;
 }
 
+/// @brief Field lines that begin with a blank: continuations of the line before, which no sender may send
+/// (RFC 9112, section 5.2), or a field whose name begins with a blank.
+inline std::vector<AnswerChange> foldedFields()
+{
+    std::vector<AnswerChange> changes;
+    for (const std::string line : {" X-Any: 1", "\tX-Any: 1", " more"}) {
+        changes.push_back({"first field " + line, [line](RawAnswer &answer) {
+                               answer.fields.insert(answer.fields.begin(), line);
+                           }});
+        changes.push_back({"later field " + line, [line](RawAnswer &answer) {
+                               answer.fields.push_back("X-Folded: a");
+                               answer.fields.push_back(line);
+                           }});
+    }
+    changes.push_back({"hidden length", [](RawAnswer &answer) {
+                           answer.fields.push_back("X-Folded: a");
+                           answer.framing.front().insert(0, " ");
+                       }});
+    changes.push_back(
+        {"folded trailer", [](RawAnswer &answer) { answer.setChunked("0\r\nX-Late: a\r\n b\r\n\r\n"); }, true});
+    return changes;
+}
+
 /// @brief Transfer codings other than chunked alone (RFC 9112, sections 6.1 and 6.3).
 inline std::vector<AnswerChange> unsupportedCodings()
 {
--- a/tests/unit-net-answers.cpp
+++ b/tests/unit-net-answers.cpp
@@ -379,6 +379,7 @@
     CPPUNIT_TEST_SUITE(ReadersTest);
     CPPUNIT_TEST(noReaderAcceptsAnInvalidStatusCode);
     CPPUNIT_TEST(noReaderAcceptsAMalformedField);
+    CPPUNIT_TEST(noReaderAcceptsAFoldedField);
     CPPUNIT_TEST(noReaderAcceptsAnUnsupportedTransferCoding);
     CPPUNIT_TEST(noReaderAcceptsMalformedFraming);
     CPPUNIT_TEST(aMalformedAnswerIsNoCrash);
@@ -395,6 +396,11 @@
         expectRejected(malformedFields());
     }
 
+    void noReaderAcceptsAFoldedField()
+    {
+        expectRejected(foldedFields());
+    }
+
     void noReaderAcceptsAnUnsupportedTransferCoding()
     {
         expectRejected(unsupportedCodings());
@@ -407,7 +413,7 @@
 
     void aMalformedAnswerIsNoCrash()
     {
-        for (const auto &changes : {invalidStatusCodes(), malformedFields(), unsupportedCodings()}) {
+        for (const auto &changes : {invalidStatusCodes(), malformedFields(), foldedFields(), unsupportedCodings()}) {
             const RawAnswer sound = RawAnswer::withLength({"Content-Type: application/json"}, loadContent);
             asio::io_context io;
             ScriptedUpstream upstream(io, "u");
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -153,6 +153,7 @@
     CPPUNIT_TEST_SUITE(AnswerTest);
     CPPUNIT_TEST(anInvalidStatusCodeIsNoAnswer);
     CPPUNIT_TEST(aMalformedFieldIsNoAnswer);
+    CPPUNIT_TEST(aFoldedFieldIsNoAnswer);
     CPPUNIT_TEST(anUnsupportedTransferCodingIsNoAnswer);
     CPPUNIT_TEST(malformedFramingIsNoAnswer);
     CPPUNIT_TEST(anotherUpstreamAnswersWhereARepeatIsAllowed);
@@ -169,6 +170,11 @@
         expectNoAnswer(malformedFields());
     }
 
+    void aFoldedFieldIsNoAnswer()
+    {
+        expectNoAnswer(foldedFields());
+    }
+
     void anUnsupportedTransferCodingIsNoAnswer()
     {
         expectNoAnswer(unsupportedCodings());
