Skip interim responses at every reader

Seen: a sound answer after an interim one (100 Continue, 103 Early Hints) was no answer to the store's client, the relay, probes, service and model calls, and parsleyvanectl: they took the interim response for the final one and failed with its status. On routes, three interim responses before the answer led to 502.

Cause: only forwarding skipped them, in the loop that skips other requests' answers and with its limit of two for both.

Change: HttpCall::readHead() skips them (RFC 9110, section 15.2), up to 16 of one response, so that interim responses without end stay bounded beside the time limits; forwarding no longer does.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -76,7 +76,8 @@
     boost::asio::awaitable<bool> send(const HttpRequest &request, LastReason &reason);
     /// @brief Reads the whole response. @param reason UpstreamLost, UpstreamSilent or BadUpstreamData
     boost::asio::awaitable<std::optional<HttpResponse>> readWhole(LastReason &reason);
-    /// @brief Reads the response head; returns the status. @param reason as readWhole()
+    /// @brief Reads the head of the final response; interim (1xx) ones are skipped. Returns the status. @param reason
+    /// as readWhole()
     boost::asio::awaitable<std::optional<int>> readHead(LastReason &reason);
     /**
      * @brief Reads the bytes of the body that arrive next. @pre readHead() succeeded @param reason as readWhole()
@@ -139,6 +140,8 @@
     using ChunkHandler
         = std::function<void(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &)>;
 
+    /// Reads the head of an interim or the final response; returns the status.
+    boost::asio::awaitable<std::optional<int>> readNextHead(LastReason &reason);
     void onChunk(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error);
     /// Closes the connection: where a malformed response ends is unknown.
     std::nullopt_t rejectResponse(std::string defect, LastReason &reason);
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -21,7 +21,7 @@
 constexpr Milliseconds connectLimit{400};
 /// An upstream that acknowledges no bytes for this long is unreachable.
 constexpr Milliseconds unacknowledgedLimit{1000};
-/// Late answers to earlier requests, and interim (1xx) answers, that are skipped before this request's own.
+/// Late answers to earlier requests that are skipped before this request's own.
 constexpr unsigned maxForeignAnswers = 2;
 /// To read on past this costs more than another attempt on a new connection.
 constexpr std::size_t maxDiscardedBytes = 65536;
@@ -290,10 +290,6 @@
         if (!status) {
             co_return this->failureResult(reason);
         }
-        if (*status < statusOk) {
-            this->attemptLog.append(" interim_answer");
-            continue;
-        }
         answer = this->context.platform.readAnswer(connection.head());
         if (!answer.requestId.empty() && answer.requestId != this->facts.id.str()) {
             // An answer to an earlier request on this connection: it is read to its end and discarded.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "parsleyvane/net/httpclient.h"
 
+#include "parsleyvane/net/httpstatus.h"
+
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -17,6 +19,8 @@
 constexpr std::size_t readBufferBytes = 16384;
 /// Bytes held before they are parsed. Chunk extensions and trailers are parsed whole, so this is their limit too.
 constexpr std::size_t maxUnparsedBytes = 65536;
+/// Interim responses that are skipped before the final one.
+constexpr unsigned maxInterimResponses = 16;
 
 } // namespace
 
@@ -212,6 +216,18 @@
 }
 
 asio::awaitable<std::optional<int>> HttpCall::readHead(LastReason &reason)
+{
+    for (unsigned interim = 0; interim <= maxInterimResponses; ++interim) {
+        const auto status = co_await this->readNextHead(reason);
+        if (!status || *status >= statusOk) {
+            this->callProgress.status = status;
+            co_return status;
+        }
+    }
+    co_return this->rejectResponse("too many interim responses", reason);
+}
+
+asio::awaitable<std::optional<int>> HttpCall::readNextHead(LastReason &reason)
 {
     boost::system::error_code error;
     this->parser.emplace();
@@ -230,8 +246,7 @@
     if (auto defect = findHeadDefect(this->parser->get(), lines, this->parser->chunked())) {
         co_return this->rejectResponse(std::move(*defect), reason);
     }
-    this->callProgress.status = this->parser->get().result_int();
-    co_return this->callProgress.status;
+    co_return this->parser->get().result_int();
 }
 
 void HttpCall::onChunk(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error)
--- a/tests/rawanswer.h
+++ b/tests/rawanswer.h
@@ -23,6 +23,7 @@
 /// @brief An answer whose parts can be changed one by one.
 struct RawAnswer
 {
+    std::string before; ///< bytes before the status line
     std::string statusLine = "HTTP/1.1 200 OK";
     std::vector<std::string> fields; ///< lines without their ends
     std::vector<std::string> framing; ///< the field lines that tell the body's end
@@ -54,7 +55,7 @@
 
     std::string text() const
     {
-        std::string bytes = this->statusLine + "\r\n";
+        std::string bytes = this->before + this->statusLine + "\r\n";
         for (const auto *lines : {&this->fields, &this->framing}) {
             for (const std::string &line : *lines) {
                 bytes.append(line).append("\r\n");
@@ -222,4 +223,64 @@
     return changes;
 }
 
+/// @brief Unusual forms that a recipient has to accept.
+inline std::vector<AnswerChange> unusualForms()
+{
+    std::vector<AnswerChange> changes;
+    for (const std::string line : {"HTTP/1.1 200 ", "HTTP/1.1 200 \xc3\xa9t\xc3\xa9\tAny", "HTTP/1.0 200 OK"}) {
+        changes.push_back({"status line " + line, [line](RawAnswer &answer) {
+                               answer.statusLine = line;
+                           }});
+    }
+    for (const std::string line : {"x-any:1", "X-Any:", "X-Any:\t 1 \t", "X-Any: \xc3\xa9", "!#$%&'*+-.^_`|~09azAZ: 1",
+                                   "X-Any: a: b, \"c\"; d=(e)", "Connection: keep-alive", "Connection: close",
+                                   "Keep-Alive: timeout=5", "Date: Mon, 07 Dec 2026 00:00:00 GMT"}) {
+        changes.push_back({"first field " + line, [line](RawAnswer &answer) {
+                               answer.fields.insert(answer.fields.begin(), line);
+                           }});
+    }
+    changes.push_back({"repeated field", [](RawAnswer &answer) {
+                           answer.fields.insert(answer.fields.end(), {"X-Any: 1", "x-any: 2"});
+                       }});
+    changes.push_back({"long field", [](RawAnswer &answer) {
+                           answer.fields.push_back("X-Any: " + std::string(4000, 'x'));
+                       }});
+    changes.push_back({"repeated length", [](RawAnswer &answer) {
+                           answer.framing.push_back(answer.framing.front());
+                       }});
+    changes.push_back({"chunked", [](RawAnswer &answer) {
+                           answer.setChunked();
+                       }});
+    for (const std::string value : {"Chunked", "CHUNKED", "\tchunked \t"}) {
+        changes.push_back({"transfer coding " + value, [value](RawAnswer &answer) {
+                               answer.setChunked();
+                               answer.framing = {"transfer-encoding:" + value};
+                           }});
+    }
+    for (const std::string extension : {";a", ";a=b", ";a=\"b c\"", " ; a = b"}) {
+        changes.push_back({"chunk extension " + extension, [extension](RawAnswer &answer) {
+                               answer.setChunked("000" + extension + "\r\n\r\n");
+                               answer.body.insert(answer.body.find("\r\n"), extension);
+                           }});
+    }
+    changes.push_back({"trailers", [](RawAnswer &answer) {
+                           answer.setChunked("0\r\nX-Late: 1\r\nX-Later:\r\n\r\n");
+                       }});
+    changes.push_back({"end by close", [](RawAnswer &answer) {
+                           answer.framing.clear();
+                       }});
+    changes.push_back({"end by close in HTTP/1.0", [](RawAnswer &answer) {
+                           answer.statusLine = "HTTP/1.0 200 OK";
+                           answer.framing.clear();
+                       }});
+    changes.push_back({"one interim answer", [](RawAnswer &answer) {
+                           answer.before = "HTTP/1.1 100 Continue\r\n\r\n";
+                       }});
+    changes.push_back({"interim answers", [](RawAnswer &answer) {
+                           answer.before = "HTTP/1.1 102 \r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                                           "HTTP/1.1 199 Any\r\n\r\n";
+                       }});
+    return changes;
+}
+
 } // namespace parsleyvane::test
--- a/tests/unit-net-answers.cpp
+++ b/tests/unit-net-answers.cpp
@@ -382,6 +382,7 @@
     CPPUNIT_TEST(noReaderAcceptsAFoldedField);
     CPPUNIT_TEST(noReaderAcceptsAnUnsupportedTransferCoding);
     CPPUNIT_TEST(noReaderAcceptsMalformedFraming);
+    CPPUNIT_TEST(everyReaderAcceptsAnUnusualForm);
     CPPUNIT_TEST(aMalformedAnswerIsNoCrash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -411,6 +412,16 @@
         expectRejected(malformedFraming());
     }
 
+    void everyReaderAcceptsAnUnusualForm()
+    {
+        for (const Reader &reader : readers()) {
+            for (const AnswerChange &change : unusualForms()) {
+                const Reading reading = reader.read({.answer = change.changed(soundAnswer(reader))}, "{}");
+                CPPUNIT_ASSERT_MESSAGE(reader.name + ", " + change.name + ", " + reading.detail, reading.isAccepted);
+            }
+        }
+    }
+
     void aMalformedAnswerIsNoCrash()
     {
         for (const auto &changes : {invalidStatusCodes(), malformedFields(), foldedFields(), unsupportedCodings()}) {
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -156,6 +156,7 @@
     CPPUNIT_TEST(aFoldedFieldIsNoAnswer);
     CPPUNIT_TEST(anUnsupportedTransferCodingIsNoAnswer);
     CPPUNIT_TEST(malformedFramingIsNoAnswer);
+    CPPUNIT_TEST(anUnusualFormIsRelayed);
     CPPUNIT_TEST(anotherUpstreamAnswersWhereARepeatIsAllowed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -185,6 +186,29 @@
         expectNoAnswer(malformedFraming());
     }
 
+    void anUnusualFormIsRelayed()
+    {
+        for (const AnswerChange &change : unusualForms()) {
+            for (const RouteKind kind : routeKinds) {
+                for (const bool hedges : {false, true}) {
+                    if (hedges && !isHedged(kind)) {
+                        continue;
+                    }
+                    AnswerRig rig(kind, hedges);
+                    const std::string sound = change.changed(soundAnswer(kind));
+                    rig.first(sound, true);
+                    rig.second(sound, true);
+                    const std::string answer = rig.send();
+                    const std::string what = change.name + ", route " + std::to_string(static_cast<int>(kind))
+                        + (hedges ? ", hedged: " : ": ") + answer;
+                    CPPUNIT_ASSERT_MESSAGE(what, answer.starts_with("HTTP/1.1 200"));
+                    const std::string expected = isStream(kind) ? "id: 1\ndata: x\n\n" + events : "the body";
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, expected, contentOf(answer));
+                }
+            }
+        }
+    }
+
     void anotherUpstreamAnswersWhereARepeatIsAllowed()
     {
         for (const AnswerChange &change : {invalidStatusCodes().front(), unsupportedCodings().front()}) {
