Do not relay trailers as header fields

Callers saw: a streamed answer without events whose trailer fields stood in the head, as if the upstream had sent them there.

Cause: Beast's parser adds trailers to the fields of the head, and such a stream's head is relayed only at its end.

Change: HttpCall keeps the head as it was when it was complete (RFC 9110, section 6.5.1: trailers are not merged into the header section).

Evidence: trailersAreNotRelayedAsFields fails on ("X-Late: 1" in the head) and passes.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -129,10 +129,10 @@
     {
         return this->calls > 1;
     }
-    /// @brief The response's head. @pre readHead() succeeded
+    /// @brief The response's head, without trailers. @pre readHead() succeeded
     const boost::beast::http::response_header<> &head() const
     {
-        return this->parser->get();
+        return this->responseHead;
     }
 
 private:
@@ -158,6 +158,7 @@
     RecordingBuffer buffer;
     std::optional<HeadParser> parser;
     ChunkHandler chunkHandler; ///< the parser refers to it
+    boost::beast::http::response_header<> responseHead; ///< the parser adds trailers to its own
     /// One timer per call, armed again on expiry if the deadline has moved; a timer per read would cost more than the
     /// read.
     boost::asio::steady_timer watchdog;
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -202,7 +202,7 @@
         co_return std::nullopt;
     }
     HttpResponse response;
-    response.base() = this->parser->get();
+    response.base() = this->responseHead;
     while (true) {
         auto piece = co_await this->readSome(reason);
         if (!piece) {
@@ -243,10 +243,11 @@
         reason.fail(this->failureOf(error));
         co_return std::nullopt;
     }
-    if (auto defect = findHeadDefect(this->parser->get(), lines, this->parser->chunked())) {
+    this->responseHead = this->parser->get();
+    if (auto defect = findHeadDefect(this->responseHead, lines, this->parser->chunked())) {
         co_return this->rejectResponse(std::move(*defect), reason);
     }
-    co_return this->parser->get().result_int();
+    co_return this->responseHead.result_int();
 }
 
 void HttpCall::onChunk(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error)
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -158,6 +158,7 @@
     CPPUNIT_TEST(malformedFramingIsNoAnswer);
     CPPUNIT_TEST(anUnusualFormIsRelayed);
     CPPUNIT_TEST(anotherUpstreamAnswersWhereARepeatIsAllowed);
+    CPPUNIT_TEST(trailersAreNotRelayedAsFields);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -228,6 +229,21 @@
             }
         }
     }
+
+    void trailersAreNotRelayedAsFields()
+    {
+        for (const std::string &content : {std::string(), ": no event\n\n" + events}) {
+            AnswerRig rig(RouteKind::Stream);
+            RawAnswer sound = soundAnswer(RouteKind::Stream);
+            sound.framing = {"Transfer-Encoding: chunked"};
+            sound.body = (content.empty() ? content : chunk(content)) + "0\r\nX-Late: 1\r\n\r\n";
+            rig.first(sound.text(), true);
+            const std::string answer = rig.send();
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200") && answer.ends_with(lastChunk));
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("X-Marker") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(answer, answer.find("X-Late") == std::string::npos);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AnswerTest);
