Log malformed responses with the sender and the defect

Seen: at the ingress front a malformed answer left "u:bad_data" in the request's line, as did unsigned and encoded ones, and not what was wrong. At the chat front nothing was logged: the defect reached the caller only, and not where another attempt succeeded.

Change: the ingress front writes event=malformed_answer with the upstream, the request and the defect, and counts it; the chat front's readers log the sender and the defect, ten lines a second at most. What has a caller that reports the failure (the relay's relay_failed, the ingress's store, parsleyvanectl) stays as it is and names the defect.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -147,7 +147,8 @@
     boost::asio::awaitable<AttemptResult> deliver(WholeAnswer answer);
     boost::asio::awaitable<void> finish();
     boost::asio::awaitable<void> refuse(const Failure &failure);
-    AttemptResult failureResult(const LastReason &reason) const;
+    /// The result of an attempt whose connection failed, or whose answer is malformed.
+    AttemptResult failureResult(const LastReason &reason);
     bool isTargetStillValid(const UpstreamEntry &target) const;
     std::optional<std::size_t> largerModel(const AnswerHead &facts) const;
     bool escalateToLargerModel(const AnswerHead &facts);
@@ -193,6 +194,8 @@
     void recordTimeToFirstEvent(TimePoint now);
     void recordEventLatency();
     void announceEvidence(const VersionShift &shift);
+    /// Records that an upstream's answer is not well-formed HTTP/1.1.
+    void recordMalformedAnswer(const Failure &failure);
     /// Records the answer for the choice of the first model.
     void recordModelAnswer(const AnswerHead &answer);
     void updateLoadLevel(Milliseconds waited);
--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -176,11 +176,15 @@
     std::vector<char> readBuffer;
 };
 
+/// @brief Logs the failure if it is a malformed response, or malformed data in one; at most ten lines a second.
+/// @param peer who sent it
+void logMalformedResponse(const std::string &peer, const Failure &failure);
+
 /// @brief A JSON request. @param body the JSON text; empty for none
 HttpRequest makeRequest(boost::beast::http::verb verb, const std::string &target, std::string body = {});
 
 /**
- * @brief Sends a request on a new connection and reads the whole response.
+ * @brief Sends a request on a new connection and reads the whole response; logs a malformed one.
  * @param progress progress of the call, set also when it failed
  */
 boost::asio::awaitable<std::optional<HttpResponse>> httpCall(std::string peer, boost::asio::ip::tcp::endpoint endpoint,
--- a/src/net/crashprobe.cpp
+++ b/src/net/crashprobe.cpp
@@ -19,6 +19,9 @@
     probe.setProgressLimit(probeResponseTimeout);
     const HttpRequest request = makeRequest(boost::beast::http::verb::get, "/load");
     const bool answered = co_await probe.send(request, reason) && co_await probe.readHead(reason);
+    if (!answered) {
+        logMalformedResponse(probe.name(), reason.failure());
+    }
     co_return !answered && reason.failure().id == ErrorId::UpstreamLost;
 }
 
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -502,7 +502,7 @@
     co_return std::nullopt;
 }
 
-AttemptResult ForwardedRequest::failureResult(const LastReason &reason) const
+AttemptResult ForwardedRequest::failureResult(const LastReason &reason)
 {
     if (this->clientDisconnected) {
         return AttemptResult::ClientDisconnected;
@@ -514,6 +514,7 @@
     case ErrorId::UpstreamSilent:
         return AttemptResult::Silent;
     case ErrorId::BadUpstreamData:
+        this->recordMalformedAnswer(reason.failure());
         return AttemptResult::BadData;
     default:
         return AttemptResult::Lost;
--- a/src/net/forward/forwardedlearning.cpp
+++ b/src/net/forward/forwardedlearning.cpp
@@ -238,6 +238,16 @@
     }
 }
 
+void ForwardedRequest::recordMalformedAnswer(const Failure &failure)
+{
+    this->context.metrics.countEvent("malformed_answer");
+    this->context.log.line("malformed_answer",
+                           {{"id", this->facts.id.str()},
+                            {"upstream", failure.peer},
+                            {"defect", failure.detail},
+                            {"ms", (bootClockNow() - this->arrivedAt).count()}});
+}
+
 void ForwardedRequest::recordModelAnswer(const AnswerHead &answer)
 {
     if (!this->context.learnsFirstModel || this->route().sizes.size() < 2) {
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -322,6 +323,14 @@
     return failure;
 }
 
+void logMalformedResponse(const std::string &peer, const Failure &failure)
+{
+    constexpr double minSeconds = 0.1;
+    if (failure.id == ErrorId::BadUpstreamData) {
+        LOG_EVERY_T(WARNING, minSeconds) << "malformed response of " << peer << ": " << failure.detail;
+    }
+}
+
 HttpRequest makeRequest(http::verb verb, const std::string &target, std::string body)
 {
     constexpr unsigned http11 = 11;
@@ -344,6 +353,9 @@
     std::optional<HttpResponse> response;
     if (co_await call.connect(reason) && co_await call.send(request, reason)) {
         response = co_await call.readWhole(reason);
+        if (!response) {
+            logMalformedResponse(call.name(), reason.failure());
+        }
     }
     progress = call.progress();
     co_return response;
--- a/src/net/modelcall.cpp
+++ b/src/net/modelcall.cpp
@@ -295,7 +295,8 @@
         this->combinedRunState = combine(this->combinedRunState, RunState::Unknown);
         co_return Interrupted{};
     }
-    if (std::holds_alternative<Failed>(result)) {
+    if (const auto *failed = std::get_if<Failed>(&result)) {
+        logMalformedResponse(upstream.str(), failed->failure);
         avoidUpstream(this->context, upstream);
     } else if (std::holds_alternative<Completed>(result)) {
         this->context.metrics.countAttempt(upstream, "ok");
--- a/src/net/servicecall.cpp
+++ b/src/net/servicecall.cpp
@@ -252,6 +252,7 @@
         response = co_await call.readWhole(reason);
     }
     if (!response) {
+        logMalformedResponse(upstream.str(), reason.failure());
         avoidUpstream(this->context, upstream);
         this->context.metrics.countAttempt(upstream, errorName(reason.failure().id));
         co_return ServiceOutcomeUnknown{reason.failure()};
--- a/tests/unit-net-answers.cpp
+++ b/tests/unit-net-answers.cpp
@@ -1,5 +1,6 @@
 #include "suite.h"
 
+#include "capturedoutput.h"
 #include "forwardrig.h"
 #include "rawanswer.h"
 #include "sampleconfiguration.h"
@@ -153,6 +154,7 @@
     std::string content;
     ReadOne read;
     bool needsEnd = true; ///< otherwise the content names its own end, and nothing after it is read
+    std::string peer; ///< who is named in the log, unless the reader passes the failure on
 };
 
 Reading readBlocking(const ScriptedResponse &response, const std::string &padding)
@@ -255,23 +257,28 @@
 
 Reading askReader(const ScriptedResponse &response, const std::string &padding)
 {
-    ForwardRig rig;
-    ScriptedUpstream reader(rig.io, "reader");
-    reader.scriptedResponses = {response};
-    RecordingKnowledge knowledge;
-    knowledge.report = padding;
-    StoreRelay relay(rig.context, InstanceId("asker"), knowledge);
-    std::vector<PeerMember> members = {{InstanceId("reader"), reader.address(), 4}};
-    for (const char *name : {"gone-1", "gone-2", "gone-3", "gone-4"}) {
-        members.push_back({InstanceId(name), "127.0.0.1:1", 0});
-    }
-    relay.setMembers(members);
-    relay.start();
-    // The next reader is asked as soon as the answer of the first one was read.
-    while (knowledge.polls < 2) {
-        rig.io.run_one();
-    }
-    return {knowledge.hasApplied};
+    Reading reading;
+    reading.detail = capturedOutput(STDOUT_FILENO, [&]() {
+        ForwardRig rig({.log = {}});
+        ScriptedUpstream reader(rig.io, "reader");
+        reader.scriptedResponses = {response};
+        RecordingKnowledge knowledge;
+        knowledge.report = padding;
+        StoreRelay relay(rig.context, InstanceId("asker"), knowledge);
+        std::vector<PeerMember> members = {{InstanceId("reader"), reader.address(), 4}};
+        for (const char *name : {"gone-1", "gone-2", "gone-3", "gone-4"}) {
+            members.push_back({InstanceId(name), "127.0.0.1:1", 0});
+        }
+        relay.setMembers(members);
+        relay.start();
+        // The next reader is asked as soon as the answer of the first one was read.
+        while (knowledge.polls < 2) {
+            rig.io.run_one();
+        }
+        rig.log.flush();
+        reading.isAccepted = knowledge.hasApplied;
+    });
+    return reading;
 }
 
 Reading pollLoad(const ScriptedResponse &response, const std::string &)
@@ -330,17 +337,17 @@
     const std::string offer = serialise(RelayOffer{.era = 1, .members = 5});
     return {
         {"parsleyvanectl", rowContent, readBlocking, true},
-        {"the store's row", rowContent, readRow, true},
-        {"the store's transaction", R"({"committed":true})", transact, true},
-        {"a rating", ratingContent, rate, true},
-        {"the configuration probe", rowContent, probe, true},
-        {"the instance list", membersContent, readInstances, true},
+        {"the store's row", rowContent, readRow, true, "platform"},
+        {"the store's transaction", R"({"committed":true})", transact, true, "platform"},
+        {"a rating", ratingContent, rate, true, "platform"},
+        {"the configuration probe", rowContent, probe, true, "platform"},
+        {"the instance list", membersContent, readInstances, true, "platform"},
         {"the ingress's table", emptyTableContent, readIngressTable, true},
         {"the ingress's transaction", "{}", transactAtIngress, true},
         {"the relay", offer, askReader, true},
-        {"the load report", loadContent, pollLoad, true},
-        {"a service call", serviceContent, callService, true},
-        {"a model call", modelContent, callModel, false},
+        {"the load report", loadContent, pollLoad, true, "e1"},
+        {"a service call", serviceContent, callService, true, "s1"},
+        {"a model call", modelContent, callModel, false, "e2"},
     };
 }
 
@@ -384,6 +391,7 @@
     CPPUNIT_TEST(noReaderAcceptsMalformedFraming);
     CPPUNIT_TEST(everyReaderAcceptsAnUnusualForm);
     CPPUNIT_TEST(aMalformedAnswerIsNoCrash);
+    CPPUNIT_TEST(aMalformedAnswerIsLoggedOrPassedOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -433,6 +441,25 @@
             CPPUNIT_ASSERT_MESSAGE(changes.front().name, !await(io, hasProcessExited(call)));
         }
     }
+
+    void aMalformedAnswerIsLoggedOrPassedOn()
+    {
+        const AnswerChange change = invalidStatusCodes().front();
+        for (const Reader &reader : readers()) {
+            // Lines in quick succession are dropped.
+            std::this_thread::sleep_for(std::chrono::milliseconds(120));
+            Reading reading;
+            const std::string output = capturedOutput(
+                STDERR_FILENO, [&]() { reading = reader.read({.answer = change.changed(soundAnswer(reader))}, "{}"); });
+            const std::string what = reader.name + ": " + reading.detail + ", " + output;
+            if (reader.peer.empty()) {
+                CPPUNIT_ASSERT_MESSAGE(what, reading.detail.find("status 000") != std::string::npos);
+                continue;
+            }
+            const std::string line = "malformed response of " + reader.peer + ": status 000\n";
+            CPPUNIT_ASSERT_MESSAGE(what, output.find(line) != std::string::npos);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReadersTest);
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -1,5 +1,6 @@
 #include "suite.h"
 
+#include "capturedoutput.h"
 #include "forwardrig.h"
 #include "rawanswer.h"
 
@@ -41,8 +42,9 @@
 class AnswerRig : public ForwardRig
 {
 public:
-    explicit AnswerRig(RouteKind kind, bool hedges = false)
-        : kind(kind)
+    explicit AnswerRig(RouteKind kind, bool hedges = false, LogLimits logLimits = {.linesPerSecond = 0})
+        : ForwardRig({.log = logLimits})
+        , kind(kind)
         , hedges(hedges)
     {
         const Repeatability repeat = isStream(kind) ? Repeatability::Resumable
@@ -158,6 +160,7 @@
     CPPUNIT_TEST(malformedFramingIsNoAnswer);
     CPPUNIT_TEST(anUnusualFormIsRelayed);
     CPPUNIT_TEST(anotherUpstreamAnswersWhereARepeatIsAllowed);
+    CPPUNIT_TEST(aMalformedAnswerIsLogged);
     CPPUNIT_TEST(trailersAreNotRelayedAsFields);
     CPPUNIT_TEST_SUITE_END();
 
@@ -230,6 +233,30 @@
         }
     }
 
+    /// Guards against a log from which an operator cannot tell which upstream sends what.
+    void aMalformedAnswerIsLogged()
+    {
+        const std::vector<std::pair<AnswerChange, std::string>> defects
+            = {{invalidStatusCodes().front(), "status 000"},
+               {malformedFields().front(), "bad field"},
+               {foldedFields().at(1), "folded field line"},
+               {unsupportedCodings().front(), "unsupported transfer coding"}};
+        for (const auto &[change, defect] : defects) {
+            const std::string output = capturedOutput(STDOUT_FILENO, [&change = change]() {
+                AnswerRig rig(RouteKind::Unsafe, false, {});
+                rig.first(change.changed(soundAnswer(RouteKind::Unsafe)), true);
+                rig.send();
+                rig.log.flush();
+            });
+            const std::size_t line = output.find("event=malformed_answer");
+            CPPUNIT_ASSERT_MESSAGE(output, line != std::string::npos);
+            const std::string text = output.substr(line, output.find('\n', line) - line);
+            CPPUNIT_ASSERT_MESSAGE(text, text.find("upstream=u") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(text, text.find("id=r-1") != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(text, text.find("defect=\"" + defect + "\"") != std::string::npos);
+        }
+    }
+
     void trailersAreNotRelayedAsFields()
     {
         for (const std::string &content : {std::string(), ": no event\n\n" + events}) {
