Test uploads that are answered early and reset, at many moments

A report from other systems: an upstream answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written; the client got the part as a complete answer.

Here nothing of such an answer passes. HttpCall::send() fails with the write, so that the answer is not read; where the upload was already in the kernel's buffers, the read fails with the reset. The caller gets 502 with an unknown run state, another upstream's answer where the request may be repeated, or a stream without its end.

--- a/tests/scriptedupstream.h
+++ b/tests/scriptedupstream.h
@@ -4,11 +4,13 @@
  */
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace parsleyvane::test {
@@ -27,6 +29,7 @@
     std::function<std::string(unsigned)> nextPiece; ///< called for pieces that are sent until the client closes
     std::chrono::milliseconds pieceInterval{0};
     std::function<std::string(const std::string &request)> answerTo; ///< makes the answer, instead of the text
+    std::optional<std::size_t> readBytes; ///< of the request; the rest is left unread, and the connection is reset
 };
 
 /// @brief An upstream that sends its scripted answers in order and repeats the last one.
@@ -40,6 +43,12 @@
         asio::co_spawn(context, ScriptedUpstream::accept(this), asio::detached);
     }
 
+    /// @brief Limits what the kernel receives on later connections before it is read.
+    void limitReceiveBuffer(int bytes)
+    {
+        this->acceptor.set_option(asio::socket_base::receive_buffer_size(bytes));
+    }
+
     std::string address() const
     {
         return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
@@ -70,8 +79,9 @@
         if (head == std::string::npos) {
             return std::string::npos;
         }
+        constexpr std::size_t maxDigits = 20;
         const std::size_t field = bytes.find("Content-Length: ");
-        const std::size_t body = field < head ? std::stoul(bytes.substr(field + 16)) : 0;
+        const std::size_t body = field < head ? std::stoul(bytes.substr(field + 16, maxDigits)) : 0;
         return head + 4 + body <= bytes.size() ? head + 4 + body : std::string::npos;
     }
 
@@ -80,7 +90,8 @@
         std::string bytes;
         std::array<char, 4096> space{};
         while (true) {
-            while (requestEnd(bytes) == std::string::npos) {
+            const auto early = self->scriptedResponses.front().readBytes;
+            while (requestEnd(bytes) == std::string::npos && (!early || bytes.size() < *early)) {
                 boost::system::error_code error;
                 const auto count = co_await socket.async_read_some(asio::buffer(space),
                                                                    asio::redirect_error(asio::use_awaitable, error));
@@ -89,8 +100,9 @@
                 }
                 bytes.append(space.data(), count);
             }
-            self->requests.push_back(bytes.substr(0, requestEnd(bytes)));
-            bytes.erase(0, requestEnd(bytes));
+            const std::size_t end = std::min(requestEnd(bytes), bytes.size());
+            self->requests.push_back(bytes.substr(0, end));
+            bytes.erase(0, end);
             ScriptedResponse response = self->scriptedResponses.front();
             if (self->scriptedResponses.size() > 1) {
                 self->scriptedResponses.pop_front();
@@ -101,7 +113,7 @@
             boost::system::error_code error;
             const auto answer = asio::buffer(response.answer);
             co_await asio::async_write(socket, answer, asio::redirect_error(asio::use_awaitable, error));
-            if (response.onSent || !response.rest.empty()) {
+            if (response.onSent || !response.rest.empty() || response.readBytes) {
                 asio::steady_timer pause(socket.get_executor(), response.pause);
                 co_await pause.async_wait(asio::use_awaitable);
             }
@@ -120,6 +132,12 @@
                 --self->endlessOpen;
                 co_return;
             }
+            if (response.readBytes) {
+                // The destructor would not reset the connection.
+                socket.set_option(asio::socket_base::linger(true, 0));
+                socket.close();
+                co_return;
+            }
             if (response.staysSilent) {
                 co_await socket.async_read_some(asio::buffer(space), asio::redirect_error(asio::use_awaitable, error));
                 ++self->closedByClient;
--- a/tests/unit-net-answers.cpp
+++ b/tests/unit-net-answers.cpp
@@ -154,6 +154,7 @@
     std::string content;
     ReadOne read;
     bool needsEnd = true; ///< otherwise the content names its own end, and nothing after it is read
+    bool hasUpload = false; ///< its requests may be long
     std::string peer; ///< who is named in the log, unless the reader passes the failure on
 };
 
@@ -336,18 +337,18 @@
 {
     const std::string offer = serialise(RelayOffer{.era = 1, .members = 5});
     return {
-        {"parsleyvanectl", rowContent, readBlocking, true},
-        {"the store's row", rowContent, readRow, true, "platform"},
-        {"the store's transaction", R"({"committed":true})", transact, true, "platform"},
-        {"a rating", ratingContent, rate, true, "platform"},
-        {"the configuration probe", rowContent, probe, true, "platform"},
-        {"the instance list", membersContent, readInstances, true, "platform"},
-        {"the ingress's table", emptyTableContent, readIngressTable, true},
-        {"the ingress's transaction", "{}", transactAtIngress, true},
-        {"the relay", offer, askReader, true},
-        {"the load report", loadContent, pollLoad, true, "e1"},
-        {"a service call", serviceContent, callService, true, "s1"},
-        {"a model call", modelContent, callModel, false, "e2"},
+        {"parsleyvanectl", rowContent, readBlocking, true, true},
+        {"the store's row", rowContent, readRow, true, false, "platform"},
+        {"the store's transaction", R"({"committed":true})", transact, true, true, "platform"},
+        {"a rating", ratingContent, rate, true, true, "platform"},
+        {"the configuration probe", rowContent, probe, true, false, "platform"},
+        {"the instance list", membersContent, readInstances, true, false, "platform"},
+        {"the ingress's table", emptyTableContent, readIngressTable, true, false},
+        {"the ingress's transaction", "{}", transactAtIngress, true, true},
+        {"the relay", offer, askReader, true, true},
+        {"the load report", loadContent, pollLoad, true, false, "e1"},
+        {"a service call", serviceContent, callService, true, true, "s1"},
+        {"a model call", modelContent, callModel, false, true, "e2"},
     };
 }
 
@@ -390,6 +391,7 @@
     CPPUNIT_TEST(noReaderAcceptsAnUnsupportedTransferCoding);
     CPPUNIT_TEST(noReaderAcceptsMalformedFraming);
     CPPUNIT_TEST(everyReaderAcceptsAnUnusualForm);
+    CPPUNIT_TEST(noReaderAcceptsAnAnswerThatIsResetDuringTheUpload);
     CPPUNIT_TEST(aMalformedAnswerIsNoCrash);
     CPPUNIT_TEST(aMalformedAnswerIsLoggedOrPassedOn);
     CPPUNIT_TEST_SUITE_END();
@@ -430,6 +432,34 @@
         }
     }
 
+    /// The answers have no length, so that only the close of the connection could tell their end.
+    void noReaderAcceptsAnAnswerThatIsResetDuringTheUpload()
+    {
+        constexpr std::size_t uploadBytes = 4U << 20U;
+        const std::string padding(uploadBytes, 'u');
+        for (const Reader &reader : readers()) {
+            for (const std::size_t readBytes : {std::size_t{1}, uploadBytes / 2, uploadBytes + 1}) {
+                for (const int pause : {0, 1, 10}) {
+                    if (!reader.hasUpload) {
+                        continue;
+                    }
+                    RawAnswer answer = soundAnswer(reader);
+                    answer.framing.clear();
+                    if (!reader.needsEnd) {
+                        answer.body.resize(answer.body.size() / 2);
+                    }
+                    const Reading reading = reader.read(
+                        {.answer = answer.text(), .pause = std::chrono::milliseconds(pause), .readBytes = readBytes},
+                        padding);
+                    const std::string what = reader.name + ", reset after " + std::to_string(readBytes) + " bytes and "
+                        + std::to_string(pause) + " ms, " + reading.detail;
+                    CPPUNIT_ASSERT_MESSAGE(what, !reading.isAccepted);
+                    CPPUNIT_ASSERT_MESSAGE(what, reading.mayHaveRun);
+                }
+            }
+        }
+    }
+
     void aMalformedAnswerIsNoCrash()
     {
         for (const auto &changes : {invalidStatusCodes(), malformedFields(), foldedFields(), unsupportedCodings()}) {
