Take instance lists and load reports from successful responses only

Seen: the list of instances and an engine's load report were taken from a response with any status, such as 500, if its body could be parsed (on also from 600 and 999).

Cause: these two readers never looked at the status.

Change: they take 200 only, as docs/PROTOCOLS.md says of both.

Evidence: noReaderTakesTheContentOfAnError fails without the change ("the instance list, status 500" accepted) and passes for all readers with it. unit-net-control passes.

--- a/src/net/loadpoller.cpp
+++ b/src/net/loadpoller.cpp
@@ -77,7 +77,7 @@
     CallProgress progress;
     HttpRequest request = makeRequest(http::verb::get, "/load");
     const auto response = co_await httpCall(id.str(), *endpoint, std::move(request), limits, progress, reason);
-    if (!response) {
+    if (!response || response->result() != http::status::ok) {
         co_return;
     }
     const Json report = Json::parse(response->body(), nullptr, false);
--- a/src/net/storeprobe.cpp
+++ b/src/net/storeprobe.cpp
@@ -110,6 +110,9 @@
     if (!response) {
         co_return std::nullopt;
     }
+    if (response->result() != http::status::ok) {
+        co_return reason.fail(invalidAnswer("status " + std::to_string(response->result_int())));
+    }
     try {
         InstanceList list;
         list.bytes = response->body().size();
--- a/tests/unit-net-answers.cpp
+++ b/tests/unit-net-answers.cpp
@@ -174,7 +174,11 @@
         io.run_one_for(std::chrono::milliseconds(1));
     }
     client.join();
-    return received && received->body() == rowContent ? Reading{true} : failedCall(reason.failure());
+    if (received) {
+        // The commands report other statuses as failures.
+        return {received->result_int() == 200 && received->body() == rowContent};
+    }
+    return failedCall(reason.failure());
 }
 
 Reading readRow(const ScriptedResponse &response, const std::string &)
@@ -390,6 +394,7 @@
     CPPUNIT_TEST(noReaderAcceptsAFoldedField);
     CPPUNIT_TEST(noReaderAcceptsAnUnsupportedTransferCoding);
     CPPUNIT_TEST(noReaderAcceptsMalformedFraming);
+    CPPUNIT_TEST(noReaderTakesTheContentOfAnError);
     CPPUNIT_TEST(everyReaderAcceptsAnUnusualForm);
     CPPUNIT_TEST(noReaderAcceptsAnAnswerThatIsResetDuringTheUpload);
     CPPUNIT_TEST(aMalformedAnswerIsNoCrash);
@@ -422,6 +427,16 @@
         expectRejected(malformedFraming());
     }
 
+    void noReaderTakesTheContentOfAnError()
+    {
+        const AnswerChange change{"status 500", [](RawAnswer &answer) {
+                                      answer.statusLine = "HTTP/1.1 500 Any";
+                                  }};
+        for (const Reader &reader : readers()) {
+            expectRejected(reader, change, true);
+        }
+    }
+
     void everyReaderAcceptsAnUnusualForm()
     {
         for (const Reader &reader : readers()) {
