--- a/review/standins-3/caller.cpp
+++ b/review/standins-3/caller.cpp
@@ -24,6 +24,7 @@
             const std::int64_t startedAt = rig::nowMs();
             const std::int64_t until = startedAt + deadlineMs;
             std::string end = "no connection";
+            std::string signature;
             const int socket = rig::connectTo(flags.text("to"));
             record.line("sent " + std::string(id) + " to " + flags.text("to") + " bytes=" + std::to_string(body.size()));
             if (socket >= 0) {
@@ -34,9 +35,11 @@
                 request += body;
                 end = "cut";
                 if (rig::sendAll(socket, request)) {
-                    const auto answer = rig::Reader(socket).read(until);
+                    auto answer = rig::Reader(socket).read(until);
                     if (answer) {
                         end = answer->startLine.substr(9, 3) + (answer->isComplete ? " whole" : " cut");
+                        const auto field = answer->headers.find("x-parsleyvane-server-signature");
+                        signature = field != answer->headers.end() ? field->second : "";
                     } else if (rig::nowMs() >= until) {
                         end = "deadline";
                     }
@@ -44,7 +47,7 @@
                 ::close(socket);
             }
             whole += end == "200 whole" ? 1 : 0;
-            record.line("answer " + std::string(id) + " " + end + " after_ms=" + std::to_string(rig::nowMs() - startedAt));
+            record.line("answer " + std::string(id) + " " + end + " signature=" + signature + " after_ms=" + std::to_string(rig::nowMs() - startedAt));
             ++done;
         }).detach();
         rig::sleepMs(flags.number("gap-ms", 0));
--- a/review/standins-3/server.cpp
+++ b/review/standins-3/server.cpp
@@ -3,6 +3,8 @@
 // --work-ms=N            time of a run; an answer of --answer-bytes=N follows
 // --events=N --gap-ms=N  answers with a stream of N events instead
 // --register=no          no entry in the store
+// --connection=TEXT      the value of the answers' Connection field
+// --busy-s=N             refuses every request with 503 and Retry-After: N
 
 #include "http.h"
 
@@ -51,6 +53,8 @@
     const std::int64_t workMs = flags.number("work-ms", 30);
     const std::int64_t events = flags.number("events", 0);
     const std::int64_t gapMs = flags.number("gap-ms", 50);
+    const std::string connection = flags.text("connection");
+    const std::string busyS = flags.text("busy-s");
     std::atomic<std::int64_t> running{0};
     std::signal(SIGPIPE, SIG_IGN);
     if (flags.text("register", "yes") == "yes") {
@@ -69,6 +73,13 @@
                                  + "\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
+            if (!busyS.empty()) {
+                record.line("arrived " + request + " at " + service + "/" + id);
+                rig::sendAll(socket, "HTTP/1.1 503 Service Unavailable\r\n" + echo
+                                 + "X-Parsleyvane-Not-Executed: 1\r\nRetry-After: " + busyS
+                                 + "\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
             if (running.load() >= flags.number("slots", 6)) {
                 rig::sendAll(socket, "HTTP/1.1 503 Service Unavailable\r\n" + echo
                                  + "X-Parsleyvane-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
@@ -79,7 +90,7 @@
                         + " deadline_ms=" + call->headers["x-parsleyvane-deadline-ms"]);
             rig::sleepMs(workMs);
             const std::string head = "HTTP/1.1 200 OK\r\n" + echo + "X-Parsleyvane-Server-Signature: " + id + "."
-                + request + "\r\n";
+                + request + "\r\n" + (connection.empty() ? "" : "Connection: " + connection + "\r\n");
             bool isSent = true;
             if (events == 0) {
                 const std::string body(static_cast<std::size_t>(flags.number("answer-bytes", 800)), 'a');
@@ -100,7 +111,7 @@
             }
             record.line(std::string(isSent ? "ran " : "left ") + request + " at " + service + "/" + id);
             --running;
-            if (!isSent) {
+            if (!isSent || !connection.empty()) {
                 return;
             }
         }
