--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
 for name in store server caller put raw; do
-    g++ -std=c++20 -O1 -pthread -o "target/review-3/$name" "review/standins-3/$name.cpp"
+    g++ -std=c++20 -O1 -pthread -o "target/review-3/$name" "review/standins-3/$name.cc"
 done
--- a/review/standins-3/raw.cpp
+++ b/review/standins-3/raw.cc
@@ -1,7 +1,7 @@
 // Sends the bytes of a file on one new channel and records the heads of the answers.
 // --to=IP:PORT --file=FILE --record=FILE --name=TEXT --wait-ms=N
 
-#include "http.h"
+#include "http.hh"
 
 #include <fstream>
 #include <sstream>
