Prepare the rule of responses and its tests for requests

Requests are to be judged by the rule that answers are judged by. No behaviour changes: responsesyntax becomes messagesyntax, and the raw answers of the tests become raw messages.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "parsleyvane/core/failure.h"
-#include "parsleyvane/net/responsesyntax.h"
+#include "parsleyvane/net/messagesyntax.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
--- a/include/parsleyvane/net/responsesyntax.h
+++ b/include/parsleyvane/net/messagesyntax.h
@@ -1,8 +1,8 @@
 /**
  * @file
- * @brief Decides whether a response is well-formed HTTP/1.1, for every reader of responses.
+ * @brief Decides whether a message is well-formed HTTP/1.1, for every reader of messages.
  *
- * The parser of Beast checks the status line, names and values of fields, Content-Length and chunks byte by byte. The
+ * The parser of Beast checks the start line, names and values of fields, Content-Length and chunks byte by byte. The
  * functions here check what it lets through. docs/API.md states the whole rule.
  */
 #pragma once
--- a/src/net/responsesyntax.cpp
+++ b/src/net/messagesyntax.cpp
@@ -1,4 +1,4 @@
-#include "parsleyvane/net/responsesyntax.h"
+#include "parsleyvane/net/messagesyntax.h"
 
 #include <algorithm>
 #include <boost/beast/http/rfc7230.hpp>
--- a/tests/unit-net-answers.cpp
+++ b/tests/unit-net-answers.cpp
@@ -2,7 +2,7 @@
 
 #include "capturedoutput.h"
 #include "forwardrig.h"
-#include "rawanswer.h"
+#include "rawmessage.h"
 #include "sampleconfiguration.h"
 
 #include "parsleyvane/core/textcodec.h"
@@ -356,12 +356,12 @@
     };
 }
 
-RawAnswer soundAnswer(const Reader &reader)
+RawMessage soundAnswer(const Reader &reader)
 {
-    return RawAnswer::withLength({"Content-Type: application/json"}, reader.content);
+    return RawMessage::withLength({"Content-Type: application/json"}, reader.content);
 }
 
-void expectRejected(const Reader &reader, const AnswerChange &change, bool closes)
+void expectRejected(const Reader &reader, const MessageChange &change, bool closes)
 {
     const ScriptedResponse response{.answer = change.changed(soundAnswer(reader)), .closesConnection = closes};
     const Reading reading = reader.read(response, "{}");
@@ -370,10 +370,10 @@
     CPPUNIT_ASSERT_MESSAGE(what, reading.mayHaveRun);
 }
 
-void expectRejected(const std::vector<AnswerChange> &changes)
+void expectRejected(const std::vector<MessageChange> &changes)
 {
     for (const Reader &reader : readers()) {
-        for (const AnswerChange &change : changes) {
+        for (const MessageChange &change : changes) {
             if (change.isAtEnd && !reader.needsEnd) {
                 continue;
             }
@@ -424,14 +424,15 @@
 
     void noReaderAcceptsMalformedFraming()
     {
+        expectRejected(malformedStatusLines());
         expectRejected(malformedFraming());
     }
 
     void noReaderTakesTheContentOfAnError()
     {
-        const AnswerChange change{"status 500", [](RawAnswer &answer) {
-                                      answer.statusLine = "HTTP/1.1 500 Any";
-                                  }};
+        const MessageChange change{"status 500", [](RawMessage &answer) {
+                                       answer.startLine = "HTTP/1.1 500 Any";
+                                   }};
         for (const Reader &reader : readers()) {
             expectRejected(reader, change, true);
         }
@@ -440,7 +441,7 @@
     void everyReaderAcceptsAnUnusualForm()
     {
         for (const Reader &reader : readers()) {
-            for (const AnswerChange &change : unusualForms()) {
+            for (const MessageChange &change : unusualAnswers()) {
                 const Reading reading = reader.read({.answer = change.changed(soundAnswer(reader))}, "{}");
                 CPPUNIT_ASSERT_MESSAGE(reader.name + ", " + change.name + ", " + reading.detail, reading.isAccepted);
             }
@@ -458,7 +459,7 @@
                     if (!reader.hasUpload) {
                         continue;
                     }
-                    RawAnswer answer = soundAnswer(reader);
+                    RawMessage answer = soundAnswer(reader);
                     answer.framing.clear();
                     if (!reader.needsEnd) {
                         answer.body.resize(answer.body.size() / 2);
@@ -478,7 +479,7 @@
     void aMalformedAnswerIsNoCrash()
     {
         for (const auto &changes : {invalidStatusCodes(), malformedFields(), foldedFields(), unsupportedCodings()}) {
-            const RawAnswer sound = RawAnswer::withLength({"Content-Type: application/json"}, loadContent);
+            const RawMessage sound = RawMessage::withLength({"Content-Type: application/json"}, loadContent);
             asio::io_context io;
             ScriptedUpstream upstream(io, "u");
             upstream.scriptedResponses = {{.answer = changes.front().changed(sound)}};
@@ -489,7 +490,7 @@
 
     void aMalformedAnswerIsLoggedOrPassedOn()
     {
-        const AnswerChange change = invalidStatusCodes().front();
+        const MessageChange change = invalidStatusCodes().front();
         for (const Reader &reader : readers()) {
             // Lines in quick succession are dropped.
             std::this_thread::sleep_for(std::chrono::milliseconds(120));
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -2,7 +2,7 @@
 
 #include "capturedoutput.h"
 #include "forwardrig.h"
-#include "rawanswer.h"
+#include "rawmessage.h"
 
 namespace parsleyvane::test {
 
@@ -22,14 +22,14 @@
     return kind == RouteKind::Stream || kind == RouteKind::ResumedStream;
 }
 
-RawAnswer soundAnswer(RouteKind kind)
+RawMessage soundAnswer(RouteKind kind)
 {
     std::string content = isStream(kind) ? events : "the body";
     if (kind == RouteKind::Stream) {
         content.insert(0, "id: 1\ndata: x\n\n");
     }
     const std::string lines = requestIdHeader() + signatureHeader;
-    return RawAnswer::withLength({lines + "X-Marker: 1", "Content-Type: text/event-stream"}, content);
+    return RawMessage::withLength({lines + "X-Marker: 1", "Content-Type: text/event-stream"}, content);
 }
 
 /// An ingress with one route and two upstreams, of which "u" is chosen first.
@@ -87,7 +87,7 @@
 };
 
 /// No part of an upstream's answer may reach the client, which learns that its request may have run.
-void expectNoAnswer(RouteKind kind, bool hedges, const AnswerChange &change, bool closes)
+void expectNoAnswer(RouteKind kind, bool hedges, const MessageChange &change, bool closes)
 {
     AnswerRig rig(kind, hedges);
     const std::string broken = change.changed(soundAnswer(kind));
@@ -112,9 +112,9 @@
     CPPUNIT_ASSERT_MESSAGE(what, answer.find("X-Marker") == std::string::npos);
 }
 
-void expectNoAnswer(const std::vector<AnswerChange> &changes)
+void expectNoAnswer(const std::vector<MessageChange> &changes)
 {
-    for (const AnswerChange &change : changes) {
+    for (const MessageChange &change : changes) {
         for (const RouteKind kind : routeKinds) {
             expectNoAnswer(kind, false, change, true);
             expectNoAnswer(kind, false, change, false);
@@ -179,12 +179,13 @@
 
     void malformedFramingIsNoAnswer()
     {
+        expectNoAnswer(malformedStatusLines());
         expectNoAnswer(malformedFraming());
     }
 
     void anUnusualFormIsRelayed()
     {
-        for (const AnswerChange &change : unusualForms()) {
+        for (const MessageChange &change : unusualAnswers()) {
             for (const RouteKind kind : routeKinds) {
                 for (const bool hedges : {false, true}) {
                     AnswerRig rig(kind, hedges);
@@ -204,7 +205,7 @@
 
     void anotherUpstreamAnswersWhereARepeatIsAllowed()
     {
-        for (const AnswerChange &change : {invalidStatusCodes().front(), unsupportedCodings().front()}) {
+        for (const MessageChange &change : {invalidStatusCodes().front(), unsupportedCodings().front()}) {
             for (const RouteKind kind : routeKinds) {
                 AnswerRig rig(kind);
                 rig.first(change.changed(soundAnswer(kind)), false);
@@ -225,7 +226,7 @@
     /// Guards against a log from which an operator cannot tell which upstream sends what.
     void aMalformedAnswerIsLogged()
     {
-        const std::vector<std::pair<AnswerChange, std::string>> defects
+        const std::vector<std::pair<MessageChange, std::string>> defects
             = {{invalidStatusCodes().front(), "status 000"},
                {malformedFields().front(), "bad field"},
                {foldedFields().at(1), "folded field line"},
@@ -250,7 +251,7 @@
     {
         for (const std::string &content : {std::string(), ": no event\n\n" + events}) {
             AnswerRig rig(RouteKind::Stream);
-            RawAnswer sound = soundAnswer(RouteKind::Stream);
+            RawMessage sound = soundAnswer(RouteKind::Stream);
             sound.framing = {"Transfer-Encoding: chunked"};
             sound.body = (content.empty() ? content : chunk(content)) + "0\r\nX-Late: 1\r\n\r\n";
             rig.first(sound.text(), true);
--- a/tests/unit-net-forward-endless.cpp
+++ b/tests/unit-net-forward-endless.cpp
@@ -1,7 +1,7 @@
 #include "suite.h"
 
 #include "forwardrig.h"
-#include "rawanswer.h"
+#include "rawmessage.h"
 
 namespace parsleyvane {
 
