Refuse transfer codings other than chunked alone

"gzip, chunked" and "chunked;q=1" were run with the outer coding taken off and the field dropped; a coding in HTTP/1.0 was accepted. All listeners were concerned.

Cause: HttpServer read a whole request before anything judged its head, and then asked message::chunked(), which looks at the last coding of the field only, while the parser decodes a body as chunked if chunked is the last coding it can read. Where the two disagree, the message has no body for the parser and the check holds. Answers have had a rule for this since; requests had none.

Change: HttpServer reads the head first, and findHeadDefect() judges it by the code that judges a response's codings (RFC 9112, sections 6.1, 6.3 and 7.1). The body of a refused head is not read, and the connection is closed. All listeners for HTTP share HttpServer: callers and operators of both fronts, and the relay between instances.

Ruled out: the forwarding of the body. makeUpstreamRequest() sends what was parsed, with its own length.

Evidence: on aRequestInsideABodyOfAnotherCodingIsNotRun, anUnsupportedTransferCodingIsRefused and everyListenerOfTheIngressRefusesAMalformedRequest fail with "chunked, chunked", "gzip, chunked", "identity, chunked", "chunked chunked", "chunked;q=1" and chunked in HTTP/1.0 as 200, and multi-requests with "gzip, chunked" at the chat front as 401.

Opposite error: anUnusualFormIsRun and its companions send unusual legal forms to each listener; the requests refused from now on are those named above.

--- a/include/parsleyvane/net/messagesyntax.h
+++ b/include/parsleyvane/net/messagesyntax.h
@@ -22,6 +22,9 @@
 std::optional<std::string> findHeadDefect(const boost::beast::http::response_header<> &head, std::string_view lines,
                                           bool isChunked);
 
+/// @brief Reports the first defect of a request's head, as for a response's.
+std::optional<std::string> findHeadDefect(const boost::beast::http::request_header<> &head, bool isChunked);
+
 /// @brief Reports a defect of the last chunk and the trailer section, as findHeadDefect().
 std::optional<std::string> findTrailerDefect(std::string_view lines);
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -21,6 +21,8 @@
 
 namespace {
 
+using RequestParser = http::request_parser<http::string_body>;
+
 constexpr std::size_t firstReadBytes = 4096;
 const std::string jsonType = "application/json";
 
@@ -55,9 +57,14 @@
     return text.append("\r\n").append(piece).append("\r\n");
 }
 
+Failure malformedRequest(std::string defect)
+{
+    return {.id = ErrorId::MalformedRequest, .step = Step::Receive, .detail = std::move(defect)};
+}
+
 Failure receiveFailure(const boost::system::error_code &error)
 {
-    Failure failure{.id = ErrorId::MalformedRequest, .step = Step::Receive, .detail = error.message()};
+    Failure failure = malformedRequest(error.message());
     if (error == http::error::body_limit || error == http::error::header_limit) {
         failure.id = ErrorId::TooLarge;
     } else if (error == beast::error::timeout) {
@@ -71,6 +78,23 @@
     LOG(ERROR) << "unhandled exception while serving a request: " << error.what();
 }
 
+/// Reads one request. @return a defect of its head, whose body is not read then
+asio::awaitable<std::optional<std::string>> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+                                                        RequestParser &parser, boost::system::error_code &error)
+{
+    co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return std::nullopt;
+    }
+    if (auto defect = findHeadDefect(parser.get(), parser.chunked())) {
+        co_return defect;
+    }
+    if (!parser.is_done()) {
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    co_return std::nullopt;
+}
+
 /// Whether the connection was closed or broken, so that no response can be delivered.
 bool isClientDisconnect(const boost::system::error_code &error)
 {
@@ -320,25 +344,22 @@
         buffer.commit(bytesRead);
     }
     // The limits may have changed while the connection was idle.
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
     parser.header_limit(this->limits.headBytes);
     parser.body_limit(this->limits.bodyBytes);
     stream.expires_after(this->limits.requestTimeout);
+    std::optional<std::string> defect;
     if (!error) {
-        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        defect = co_await readRequest(stream, buffer, parser, error);
     }
     const bool silent = error == beast::error::timeout && buffer.size() == 0;
     if (error && (silent || isClientDisconnect(error))) {
         co_return false;
     }
     Exchange exchange(stream, parser.release(), this->limits.writeTimeout);
-    if (error) {
-        co_await exchange.respond(receiveFailure(error));
-        co_return false;
-    }
-    if (exchange.request().count(http::field::transfer_encoding) > 0 && !exchange.request().chunked()) {
-        // With an unsupported transfer coding, the end of the request is unknown.
-        co_await exchange.respond(receiveFailure(http::error::bad_transfer_encoding));
+    if (error || defect) {
+        Failure failure = defect ? malformedRequest(std::move(*defect)) : receiveFailure(error);
+        co_await exchange.respond(std::move(failure));
         co_return false;
     }
     stream.expires_never();
--- a/src/net/messagesyntax.cpp
+++ b/src/net/messagesyntax.cpp
@@ -30,10 +30,10 @@
 }
 
 /// Whether the fields name the transfer coding chunked and no other; empty list elements count for nothing.
-bool namesChunkedOnly(const http::response_header<> &head)
+bool namesChunkedOnly(const http::fields &fields)
 {
     std::size_t codings = 0;
-    for (const auto &field : head) {
+    for (const auto &field : fields) {
         if (field.name() != http::field::transfer_encoding) {
             continue;
         }
@@ -51,6 +51,21 @@
     return codings == 1;
 }
 
+/// A transfer coding that the parser does not decode leaves the body's end unknown (RFC 9112, sections 6.1 and 6.3).
+std::optional<std::string> findCodingDefect(const http::fields &fields, unsigned version, bool isChunked)
+{
+    if (fields.count(http::field::transfer_encoding) == 0) {
+        return std::nullopt;
+    }
+    if (version < http11) {
+        return "transfer coding in HTTP/1.0";
+    }
+    if (!isChunked || !namesChunkedOnly(fields)) {
+        return "unsupported transfer coding";
+    }
+    return std::nullopt;
+}
+
 bool hasFoldedLine(std::string_view lines)
 {
     return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
@@ -66,16 +81,12 @@
     if (hasFoldedLine(lines)) {
         return "folded field line";
     }
-    if (head.count(http::field::transfer_encoding) == 0) {
-        return std::nullopt;
-    }
-    if (head.version() < http11) {
-        return "transfer coding in an HTTP/1.0 response";
-    }
-    if (!isChunked || !namesChunkedOnly(head)) {
-        return "unsupported transfer coding";
-    }
-    return std::nullopt;
+    return findCodingDefect(head, head.version(), isChunked);
+}
+
+std::optional<std::string> findHeadDefect(const http::request_header<> &head, bool isChunked)
+{
+    return findCodingDefect(head, head.version(), isChunked);
 }
 
 std::optional<std::string> findTrailerDefect(std::string_view lines)
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -186,6 +186,7 @@
     std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
     asio::ip::tcp::endpoint endpoint;
     Milliseconds readDelay{0}; ///< time from the client's request until it reads the answer
+    std::optional<std::size_t> pieceBytes; ///< the client sends its bytes in pieces of this size
     bool disconnectsEarly = false; ///< the client closes its connection shortly after it has sent its bytes
 
 private:
@@ -206,8 +207,13 @@
         asio::ip::tcp::socket socket(self->io);
         boost::system::error_code error;
         co_await socket.async_connect(self->endpoint, asio::redirect_error(asio::use_awaitable, error));
-        const auto buffer = asio::buffer(bytes);
-        co_await asio::async_write(socket, buffer, asio::redirect_error(asio::use_awaitable, error));
+        socket.set_option(asio::ip::tcp::no_delay(true), error);
+        const std::size_t pieceBytes = self->pieceBytes.value_or(bytes.size());
+        for (std::size_t at = 0; at < bytes.size() && !error; at += pieceBytes) {
+            const auto piece = asio::buffer(bytes) + at;
+            co_await asio::async_write(socket, asio::buffer(piece, pieceBytes),
+                                       asio::redirect_error(asio::use_awaitable, error));
+        }
         if (self->disconnectsEarly) {
             asio::steady_timer delay(self->io, std::chrono::milliseconds(60));
             co_await delay.async_wait(asio::use_awaitable);
--- a/tests/instancerig.h
+++ b/tests/instancerig.h
@@ -133,7 +133,8 @@
 public:
     /// @param grace from the request to stop to the end of the process
     /// @param timeout of all routes
-    explicit InstanceRig(Milliseconds grace = Milliseconds(0), Milliseconds timeout = testBound)
+    /// @param isRelay whether other instances may ask this one for rows of the store
+    explicit InstanceRig(Milliseconds grace = Milliseconds(0), Milliseconds timeout = testBound, bool isRelay = false)
         : timeout(timeout)
     {
         this->addUpstream("stream", {.answer = streamHead() + chunkedEvent(1), .staysSilent = true});
@@ -150,6 +151,10 @@
         this->settings.front = FrontKind::Ingress;
         this->settings.listen.callers = InstanceRig::text(this->callers);
         this->settings.listen.operators = InstanceRig::text(this->operators);
+        if (isRelay) {
+            this->peers = this->freeEndpoint();
+            this->settings.listen.peers = InstanceRig::text(*this->peers);
+        }
         this->settings.bounds.grace = grace;
         this->instance = std::make_unique<IngressInstance>(
             this->settings,
@@ -209,6 +214,23 @@
         return this->send(this->callers, bytes);
     }
 
+    std::shared_ptr<Client> send(const asio::ip::tcp::endpoint &endpoint, const std::string &bytes)
+    {
+        auto client = this->clients.emplace_back(std::make_shared<Client>(Client{.bytes = bytes}));
+        asio::co_spawn(this->io, runClient(endpoint, client), asio::detached);
+        return client;
+    }
+
+    /// @brief Where the instance reads requests: of callers, operators and other instances.
+    std::vector<asio::ip::tcp::endpoint> listeners() const
+    {
+        std::vector<asio::ip::tcp::endpoint> endpoints = {this->callers, this->operators};
+        if (this->peers) {
+            endpoints.push_back(*this->peers);
+        }
+        return endpoints;
+    }
+
     template<typename Condition>
     bool runUntil(Condition condition)
     {
@@ -277,13 +299,6 @@
                                .services = {{ServiceName(name), 1}}});
     }
 
-    std::shared_ptr<Client> send(const asio::ip::tcp::endpoint &endpoint, const std::string &bytes)
-    {
-        auto client = this->clients.emplace_back(std::make_shared<Client>(Client{.bytes = bytes}));
-        asio::co_spawn(this->io, runClient(endpoint, client), asio::detached);
-        return client;
-    }
-
     bool isReady()
     {
         const auto probe = this->send(this->operators, "GET /ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
@@ -295,6 +310,7 @@
     std::vector<UpstreamEntry> entries;
     std::shared_ptr<RouteTable> table = std::make_shared<RouteTable>(Revision(1));
     asio::ip::tcp::endpoint operators;
+    std::optional<asio::ip::tcp::endpoint> peers;
     InstanceSettings settings;
     std::vector<std::shared_ptr<Client>> clients;
     std::thread thread;
--- a/tests/rawmessage.h
+++ b/tests/rawmessage.h
@@ -308,4 +308,71 @@
     return changes;
 }
 
+/// @brief A request to "/r/" of the host "h". @param fields lines without their ends, beside Host
+inline RawMessage rawRequest(std::vector<std::string> fields, const std::string &content)
+{
+    fields.insert(fields.begin(), "Host: h");
+    RawMessage request = RawMessage::withLength(std::move(fields), content);
+    request.startLine = "POST /r/ HTTP/1.1";
+    return request;
+}
+
+/// @brief Malformed request lines (RFC 9112, section 3).
+inline std::vector<MessageChange> malformedRequestLines()
+{
+    std::vector<MessageChange> changes;
+    for (const std::string line :
+         {"POST  /r/ HTTP/1.1", "POST\t/r/ HTTP/1.1", "POST /r/  HTTP/1.1", "POST /r/ HTTP/1.1 ", " POST /r/ HTTP/1.1",
+          "POST /r/", "POST HTTP/1.1", "/r/ HTTP/1.1", "PO(ST /r/ HTTP/1.1", "POST /r/ \x01 HTTP/1.1",
+          "POST /r/\x7f HTTP/1.1", "POST /r/ a HTTP/1.1", "POST /r/ HTTP/2.0", "POST /r/ HTTP/0.9", "POST /r/ HTTP/1.",
+          "POST /r/ http/1.1"}) {
+        changes.push_back({"request line " + line, [line](RawMessage &request) {
+                               request.startLine = line;
+                           }});
+    }
+    return changes;
+}
+
+/// @brief unusualForms(), and those of requests alone.
+inline std::vector<MessageChange> unusualRequests()
+{
+    std::vector<MessageChange> changes = unusualForms();
+    for (const std::string line : {"GET /r/ HTTP/1.1", "PUT /r/ HTTP/1.1", "POST /r/?a=b%20c&d=/r/ HTTP/1.1",
+                                   "POST /r/a;b:@!$'()*+,= HTTP/1.1"}) {
+        changes.push_back({"request line " + line, [line](RawMessage &request) {
+                               request.startLine = line;
+                           }});
+    }
+    for (const std::string value : {"h:80", "h:", "\th\t"}) {
+        changes.push_back({"host " + value, [value](RawMessage &request) {
+                               request.fields.front() = "Host:" + value;
+                           }});
+    }
+    for (const std::string value : {"TE", "Upgrade, HTTP2-Settings", "X-Any", ",keep-alive,", "Transfer-Encoding"}) {
+        changes.push_back({"connection " + value, [value](RawMessage &request) {
+                               request.fields.push_back("Connection: " + value);
+                               request.fields.push_back("X-Any: 1");
+                           }});
+    }
+    changes.push_back({"kept connection of HTTP/1.0", [](RawMessage &request) {
+                           request.setVersion("HTTP/1.0");
+                           request.fields.push_back("Connection: keep-alive");
+                       }});
+    changes.push_back({"no length", [](RawMessage &request) {
+                           request.framing.clear();
+                           request.content.clear();
+                           request.body.clear();
+                       }});
+    changes.push_back({"length 0", [](RawMessage &request) {
+                           request.content.clear();
+                           request.setBody("");
+                       }});
+    changes.push_back({"no chunk", [](RawMessage &request) {
+                           request.content.clear();
+                           request.framing = {"Transfer-Encoding: chunked"};
+                           request.body = "0\r\n\r\n";
+                       }});
+    return changes;
+}
+
 } // namespace parsleyvane::test
--- /dev/null
+++ b/tests/unit-net-forward-requests.cpp
@@ -0,0 +1,223 @@
+#include "suite.h"
+
+#include "forwardrig.h"
+#include "instancerig.h"
+#include "rawmessage.h"
+
+namespace parsleyvane::test {
+
+namespace {
+
+const std::string content = "the body";
+/// Well before the end of a connection that stays open.
+constexpr Milliseconds promptly{900};
+
+/// The field line that a header of forwardrig.h ends with CR LF.
+std::string lineOf(const std::string &header)
+{
+    return header.substr(0, header.find("\r\n"));
+}
+
+RawMessage soundRequest()
+{
+    return rawRequest({lineOf(requestIdHeader())}, content);
+}
+
+/// Follows on the connection of the request under test, which it closes.
+std::string nextRequest()
+{
+    return clientRequest("/r/next");
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size())) {
+        ++count;
+    }
+    return count;
+}
+
+bool contains(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// @brief An ingress with one route, whose upstream runs all that it receives.
+class RequestRig : public ForwardRig
+{
+public:
+    explicit RequestRig(const ForwardRigLimits &limits = {})
+        : ForwardRig(limits)
+    {
+        this->route("r", Repeatability::Always);
+        this->upstream("u", {{.answer = upstreamAnswer(200, "ok"), .closesConnection = false}});
+    }
+
+    std::string send(const std::string &bytes)
+    {
+        const TimePoint startedAt = bootClockNow();
+        std::string answer = this->exchange(bytes);
+        this->took = bootClockNow() - startedAt;
+        return answer;
+    }
+
+    /// @brief What the upstream ran.
+    const std::vector<std::string> &runs() const
+    {
+        return this->upstreams.front()->requests;
+    }
+
+    Milliseconds took{0};
+};
+
+/// Nothing may run, neither the request nor what follows it, and the client learns so before the connection closes.
+void expectRefused(const std::string &name, const std::string &bytes, int status = 400)
+{
+    RequestRig rig;
+    const std::string answer = rig.send(bytes);
+    const std::string what = name + ": " + answer;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{0}, rig.runs().size());
+    CPPUNIT_ASSERT_MESSAGE(what, answer.starts_with("HTTP/1.1 " + std::to_string(status)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1}, countOf(answer, "HTTP/1.1 "));
+    CPPUNIT_ASSERT_MESSAGE(what, rig.took < promptly);
+    CPPUNIT_ASSERT_MESSAGE(what, contains(answer, R"("run":"not_run")"));
+}
+
+void expectRefused(const std::vector<MessageChange> &changes)
+{
+    for (const MessageChange &change : changes) {
+        expectRefused(change.name, change.changed(soundRequest()) + nextRequest());
+    }
+}
+
+/// The request and the one after it run once each, with the body that was sent.
+void expectRun(const std::string &name, const RawMessage &request, std::optional<std::size_t> pieceBytes = {})
+{
+    RequestRig rig({.server = {.requestTimeout = Milliseconds(2000), .idleTimeout = Milliseconds(3000)}});
+    rig.pieceBytes = pieceBytes;
+    const std::string answer = rig.send(request.text() + nextRequest());
+    const std::string what = name + ": " + answer;
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{2}, rig.runs().size());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{2}, countOf(answer, "HTTP/1.1 200"));
+    const std::string &run = rig.runs().front();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, request.content, run.substr(run.find("\r\n\r\n") + 4));
+    CPPUNIT_ASSERT_MESSAGE(what, !contains(run, "chunked"));
+    CPPUNIT_ASSERT_MESSAGE(what, rig.runs().back().ends_with("\r\n\r\nhi"));
+}
+
+} // namespace
+
+/// Requests that are not well-formed HTTP/1.1, and unusual ones that are, as the upstream and the client see them.
+class RequestTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestTest);
+    CPPUNIT_TEST(aRequestInsideABodyOfAnotherCodingIsNotRun);
+    CPPUNIT_TEST(anUnsupportedTransferCodingIsRefused);
+    CPPUNIT_TEST(aMalformedRequestLineIsRefused);
+    CPPUNIT_TEST(aMalformedFieldIsRefused);
+    CPPUNIT_TEST(anUnusualFormIsRun);
+    CPPUNIT_TEST(pipelinedRequestsAreRunInOrder);
+    CPPUNIT_TEST(everyListenerOfTheIngressRefusesAMalformedRequest);
+    CPPUNIT_TEST(everyListenerOfTheIngressAcceptsAnUnusualForm);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against requests that an attacker hides in the body of another one (request smuggling).
+    void aRequestInsideABodyOfAnotherCodingIsNotRun()
+    {
+        for (const MessageChange &change : unsupportedCodings()) {
+            RawMessage request = soundRequest();
+            change.apply(request);
+            request.body = clientRequest("/r/hidden");
+            expectRefused(change.name, request.text());
+        }
+    }
+
+    void anUnsupportedTransferCodingIsRefused()
+    {
+        expectRefused(unsupportedCodings());
+    }
+
+    void aMalformedRequestLineIsRefused()
+    {
+        expectRefused(malformedRequestLines());
+    }
+
+    void aMalformedFieldIsRefused()
+    {
+        expectRefused(malformedFields());
+    }
+
+    void anUnusualFormIsRun()
+    {
+        for (const MessageChange &change : unusualRequests()) {
+            RawMessage request = soundRequest();
+            change.apply(request);
+            expectRun(change.name, request);
+        }
+    }
+
+    void pipelinedRequestsAreRunInOrder()
+    {
+        constexpr int requests = 20;
+        RequestRig rig;
+        std::string bytes;
+        for (int number = 0; number < requests; ++number) {
+            RawMessage request = rawRequest({lineOf(requestIdHeader())}, std::to_string(number) + ": " + content);
+            if (number % 2 == 0) {
+                request.setChunked();
+            }
+            bytes.append(request.text());
+        }
+        const std::string answer = rig.send(bytes + nextRequest());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{requests + 1}, rig.runs().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{requests + 1}, countOf(answer, "HTTP/1.1 200"));
+        for (int number = 0; number < requests; ++number) {
+            CPPUNIT_ASSERT(rig.runs().at(number).ends_with("\r\n\r\n" + std::to_string(number) + ": " + content));
+        }
+    }
+
+    /// Callers, operators and other instances: one rule for all of them.
+    void everyListenerOfTheIngressRefusesAMalformedRequest()
+    {
+        InstanceRig rig(Milliseconds(0), testBound, true);
+        rig.start();
+        for (const auto &changes : {unsupportedCodings(), malformedRequestLines(), malformedFields()}) {
+            for (const MessageChange &change : changes) {
+                for (const asio::ip::tcp::endpoint &listener : rig.listeners()) {
+                    const auto client = rig.send(listener, change.changed(soundRequest()) + nextRequest());
+                    const std::string what = change.name + " at port " + std::to_string(listener.port());
+                    CPPUNIT_ASSERT_MESSAGE(what, rig.runUntil([&]() { return client->ended; }));
+                    CPPUNIT_ASSERT_MESSAGE(what + ": " + client->answer, client->answer.starts_with("HTTP/1.1 400"));
+                    CPPUNIT_ASSERT_MESSAGE(what + ": " + client->answer,
+                                           contains(client->answer, "malformed-request")
+                                               && contains(client->answer, R"("run":"not_run")"));
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1}, countOf(client->answer, "HTTP/1.1 "));
+                }
+            }
+        }
+        rig.stop();
+    }
+
+    void everyListenerOfTheIngressAcceptsAnUnusualForm()
+    {
+        InstanceRig rig(Milliseconds(0), testBound, true);
+        rig.start();
+        for (const MessageChange &change : unusualRequests()) {
+            for (const asio::ip::tcp::endpoint &listener : rig.listeners()) {
+                const auto client = rig.send(listener, change.changed(soundRequest()) + nextRequest());
+                const std::string what = change.name + " at port " + std::to_string(listener.port());
+                CPPUNIT_ASSERT_MESSAGE(what, rig.runUntil([&]() { return client->ended; }));
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(what + ": " + client->answer, std::size_t{2},
+                                             countOf(client->answer, "HTTP/1.1 "));
+                CPPUNIT_ASSERT_MESSAGE(what + ": " + client->answer, !contains(client->answer, "malformed-request"));
+            }
+        }
+        rig.stop();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestTest);
+
+} // namespace parsleyvane::test
