Read the last chunk of an empty body in any number of segments

Seen: one client ends the process with a well-formed request whose chunked body is empty and whose last chunk arrives as "0" CR LF, then CR. So does an upstream with such an answer.

Cause: Beast's parser parses a last chunk again when more bytes arrive, and asserts that there are five; with four, the assertion fails, and the build keeps assertions. Only a body that begins with its last chunk is concerned, as any other last chunk follows the end of a chunk's line.

Change: HttpServer and HttpCall let the parser begin a chunked body when five bytes of it are there. None is shorter.

Ruled out: waiting for five bytes before each chunk, which would delay events of streams.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -167,6 +167,7 @@
     std::chrono::steady_clock::time_point totalDeadline = std::chrono::steady_clock::time_point::max();
     std::size_t minBytesPerSecond = 0;
     std::function<Milliseconds()> timeoutHandler;
+    bool isFirstChunkAwaited = false; ///< nothing of a chunked body has been parsed
     bool isWaiting = false; ///< a connect, send or read is in progress
     bool isWatchdogActive = false;
     bool isIdle = false; ///< watchIdle() was called, and no call since
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include "parsleyvane/net/httpstatus.h"
 
+#include "net/firstchunk.h"
+
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -9,6 +11,7 @@
 #include <glog/logging.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace parsleyvane {
 
@@ -248,6 +251,7 @@
     if (auto defect = findHeadDefect(this->responseHead, lines, this->parser->chunked())) {
         co_return this->rejectResponse(std::move(*defect), reason);
     }
+    this->isFirstChunkAwaited = this->parser->chunked();
     co_return this->responseHead.result_int();
 }
 
@@ -278,8 +282,13 @@
         this->parser->get().body().data = this->readBuffer.data();
         this->parser->get().body().size = this->readBuffer.size();
         this->setDeadline(this->limits.progress);
-        co_await http::async_read_some(this->socket, this->buffer, *this->parser,
-                                       asio::redirect_error(asio::use_awaitable, error));
+        if (std::exchange(this->isFirstChunkAwaited, false)) {
+            co_await awaitFirstChunk(this->socket, this->buffer, error);
+        }
+        if (!error) {
+            co_await http::async_read_some(this->socket, this->buffer, *this->parser,
+                                           asio::redirect_error(asio::use_awaitable, error));
+        }
         this->isWaiting = false;
         const std::size_t filled = this->readBuffer.size() - this->parser->get().body().size;
         if (filled > 0) {
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -2,6 +2,8 @@
 
 #include "parsleyvane/net/httpstatus.h"
 
+#include "net/firstchunk.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -89,7 +91,10 @@
     if (auto defect = findHeadDefect(parser.get(), parser.chunked())) {
         co_return defect;
     }
-    if (!parser.is_done()) {
+    if (parser.chunked()) {
+        co_await awaitFirstChunk(stream, buffer, error);
+    }
+    if (!error && !parser.is_done()) {
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     co_return std::nullopt;
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -159,10 +159,16 @@
 
     /// @brief Sends raw bytes on one connection. @return all bytes received until it closes or the timeout expires
     std::string exchange(const std::string &bytes, Milliseconds timeout = Milliseconds(2000))
+    {
+        return this->exchange(std::vector<std::string>{bytes}, timeout);
+    }
+
+    /// @brief As above, with the bytes in several segments.
+    std::string exchange(const std::vector<std::string> &pieces, Milliseconds timeout = Milliseconds(2000))
     {
         std::string answer;
         bool ended = false;
-        asio::co_spawn(this->io, ForwardRig::runClient(this, bytes, &answer, &ended), asio::detached);
+        asio::co_spawn(this->io, ForwardRig::runClient(this, pieces, &answer, &ended), asio::detached);
         const auto end = std::chrono::steady_clock::now() + timeout;
         while (!ended && std::chrono::steady_clock::now() < end) {
             this->io.run_one_for(std::chrono::milliseconds(20));
@@ -186,7 +192,6 @@
     std::vector<std::unique_ptr<ScriptedUpstream>> upstreams;
     asio::ip::tcp::endpoint endpoint;
     Milliseconds readDelay{0}; ///< time from the client's request until it reads the answer
-    std::optional<std::size_t> pieceBytes; ///< the client sends its bytes in pieces of this size
     bool disconnectsEarly = false; ///< the client closes its connection shortly after it has sent its bytes
 
 private:
@@ -202,17 +207,21 @@
         return *added;
     }
 
-    static asio::awaitable<void> runClient(ForwardRig *self, std::string bytes, std::string *answer, bool *ended)
+    static asio::awaitable<void> runClient(ForwardRig *self, std::vector<std::string> pieces, std::string *answer,
+                                           bool *ended)
     {
         asio::ip::tcp::socket socket(self->io);
         boost::system::error_code error;
         co_await socket.async_connect(self->endpoint, asio::redirect_error(asio::use_awaitable, error));
         socket.set_option(asio::ip::tcp::no_delay(true), error);
-        const std::size_t pieceBytes = self->pieceBytes.value_or(bytes.size());
-        for (std::size_t at = 0; at < bytes.size() && !error; at += pieceBytes) {
-            const auto piece = asio::buffer(bytes) + at;
-            co_await asio::async_write(socket, asio::buffer(piece, pieceBytes),
-                                       asio::redirect_error(asio::use_awaitable, error));
+        for (const std::string &piece : pieces) {
+            const auto buffer = asio::buffer(piece);
+            co_await asio::async_write(socket, buffer, asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                break;
+            }
+            // Lets the ingress receive this piece alone.
+            co_await asio::post(self->io, asio::use_awaitable);
         }
         if (self->disconnectsEarly) {
             asio::steady_timer delay(self->io, std::chrono::milliseconds(60));
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -154,6 +154,7 @@
     CPPUNIT_TEST(anotherUpstreamAnswersWhereARepeatIsAllowed);
     CPPUNIT_TEST(aMalformedAnswerIsLogged);
     CPPUNIT_TEST(trailersAreNotRelayedAsFields);
+    CPPUNIT_TEST(anEmptyAnswerInPiecesIsRelayed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -261,6 +262,23 @@
             CPPUNIT_ASSERT_MESSAGE(answer, answer.find("X-Late") == std::string::npos);
         }
     }
+
+    /// Guards against an upstream that ends the process with the last chunk in several segments.
+    void anEmptyAnswerInPiecesIsRelayed()
+    {
+        const std::vector<std::string> pieces = {"0", "\r\n", "\r", "\n"};
+        RawMessage sound = soundAnswer(RouteKind::Plain);
+        sound.framing = {"Transfer-Encoding: chunked"};
+        sound.body.clear();
+        AnswerRig rig(RouteKind::Plain);
+        rig.upstream("u",
+                     {{.answer = sound.text(),
+                       .nextPiece = [&](unsigned number) { return number < pieces.size() ? pieces.at(number) : ""; },
+                       .pieceInterval = std::chrono::milliseconds(10)}});
+        const std::string answer = rig.send();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(answer, std::string(), contentOf(answer));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AnswerTest);
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -91,12 +91,21 @@
     }
 }
 
+std::vector<std::string> piecesOf(const std::string &bytes, std::size_t pieceBytes)
+{
+    std::vector<std::string> pieces;
+    for (std::size_t at = 0; at < bytes.size(); at += pieceBytes) {
+        pieces.push_back(bytes.substr(at, pieceBytes));
+    }
+    return pieces;
+}
+
 /// The request and the one after it run once each, with the body that was sent.
-void expectRun(const std::string &name, const RawMessage &request, std::optional<std::size_t> pieceBytes = {})
+void expectRun(const std::string &name, const RawMessage &request, bool isByteByByte = false)
 {
-    RequestRig rig({.server = {.requestTimeout = Milliseconds(2000), .idleTimeout = Milliseconds(3000)}});
-    rig.pieceBytes = pieceBytes;
-    const std::string answer = rig.send(request.text() + nextRequest());
+    RequestRig rig;
+    const std::string bytes = request.text() + nextRequest();
+    const std::string answer = rig.exchange(piecesOf(bytes, isByteByByte ? 1 : bytes.size()));
     const std::string what = name + ": " + answer;
     CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{2}, rig.runs().size());
     CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{2}, countOf(answer, "HTTP/1.1 200"));
@@ -117,6 +126,9 @@
     CPPUNIT_TEST(aMalformedRequestLineIsRefused);
     CPPUNIT_TEST(aMalformedFieldIsRefused);
     CPPUNIT_TEST(anUnusualFormIsRun);
+    CPPUNIT_TEST(aRequestThatArrivesByteByByteIsRun);
+    CPPUNIT_TEST(aLastChunkInPiecesIsRead);
+    CPPUNIT_TEST(anyBytesInAnyPiecesLeaveTheIngressRunning);
     CPPUNIT_TEST(pipelinedRequestsAreRunInOrder);
     CPPUNIT_TEST(everyListenerOfTheIngressRefusesAMalformedRequest);
     CPPUNIT_TEST(everyListenerOfTheIngressAcceptsAnUnusualForm);
@@ -158,6 +170,59 @@
         }
     }
 
+    void aRequestThatArrivesByteByByteIsRun()
+    {
+        for (const MessageChange &change : unusualRequests()) {
+            RawMessage request = soundRequest();
+            change.apply(request);
+            expectRun(change.name + ", byte by byte", request, true);
+        }
+    }
+
+    /// Guards against a client that ends the process with an empty chunked body in several segments.
+    void aLastChunkInPiecesIsRead()
+    {
+        for (const std::string body : {"0\r\n\r\n", "00\r\n\r\n", "0;a\r\n\r\n", "0\r\nX-Late: 1\r\n\r\n"}) {
+            for (std::size_t pieceBytes = 1; pieceBytes < body.size(); ++pieceBytes) {
+                RequestRig rig;
+                // The head is a piece of its own.
+                RawMessage request = soundRequest();
+                request.framing = {"Transfer-Encoding: chunked"};
+                request.body.clear();
+                std::vector<std::string> pieces = piecesOf(body, pieceBytes);
+                pieces.insert(pieces.begin(), request.text());
+                pieces.push_back(nextRequest());
+                const std::string answer = rig.exchange(pieces);
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(body + answer, std::size_t{2}, rig.runs().size());
+                CPPUNIT_ASSERT_MESSAGE(body + answer, rig.runs().front().ends_with("\r\n\r\n"));
+            }
+        }
+    }
+
+    void anyBytesInAnyPiecesLeaveTheIngressRunning()
+    {
+        const std::vector<MessageChange> changes = unusualRequests();
+        RequestRig rig({.server = {.requestTimeout = Milliseconds(20), .idleTimeout = Milliseconds(20)}});
+        property("the next client is served whatever was received", [&]() {
+            std::string bytes = changes.at(*rc::gen::inRange<std::size_t>(0, changes.size())).changed(soundRequest());
+            const auto damages = *rc::gen::inRange(0, 4);
+            for (int damage = 0; damage < damages; ++damage) {
+                const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+                if (*rc::gen::arbitrary<bool>()) {
+                    bytes.at(at) = *rc::gen::arbitrary<char>();
+                } else {
+                    bytes.erase(at, *rc::gen::inRange<std::size_t>(0, 3));
+                }
+            }
+            std::vector<std::string> pieces;
+            for (std::size_t at = 0; at < bytes.size(); at += pieces.back().size()) {
+                pieces.push_back(bytes.substr(at, *rc::gen::inRange<std::size_t>(1, 40)));
+            }
+            rig.exchange(pieces);
+            RC_ASSERT(rig.exchange(nextRequest()).starts_with("HTTP/1.1 200"));
+        });
+    }
+
     void pipelinedRequestsAreRunInOrder()
     {
         constexpr int requests = 20;
