Tell callers that a refused request was not run

Callers saw: a malformed request refused by the ingress front with a status that promises nothing (400), with the run state in the body alone; after a missing or repeated id the connection went on. Operators saw nothing: a request that the server refuses by itself left no log line and no count.

Change: HttpServer calls a handler before it answers a request that it refuses. The ingress front adds the platform's header for "not run", which PlatformPort::notRunHeader() names, writes a line refused_request with id, status, cause and defect, and counts it; the chat front counts it, as it counts its other refusals. A request that the platform's codec rejects gets the same header, and its connection is closed too.

Evidence: before, aRefusedRequestIsLoggedAndCounted, aRequestWithoutAnIdIsRefused and the check of the header in each test of refusals fail.

--- a/include/parsleyvane/forward/forwardedrequest.h
+++ b/include/parsleyvane/forward/forwardedrequest.h
@@ -36,6 +36,9 @@
 /// @brief The result's name in logs and metrics, such as "bad_data".
 std::string_view resultName(AttemptResult result);
 
+/// @brief Logs and counts a request that the server refuses, and marks its response as that to a request not run.
+void recordRefusal(ForwardContext &context, Exchange &exchange, const Failure &failure);
+
 /**
  * @brief Serves one request: admits it, sends it to upstreams until one answers, and reports the result to the client.
  *
--- a/include/parsleyvane/forward/platformport.h
+++ b/include/parsleyvane/forward/platformport.h
@@ -8,7 +8,7 @@
 #include "parsleyvane/ingress/upstreamlist.h"
 #include "parsleyvane/ingress/versionshift.h"
 #include "parsleyvane/limits/tokenbucket.h"
-#include "parsleyvane/net/httpclient.h"
+#include "parsleyvane/net/httpserver.h"
 #include "parsleyvane/store/storewatch.h"
 #include "parsleyvane/store/transaction.h"
 
@@ -138,6 +138,8 @@
     // requests
     /// @brief Decodes a client's request. @param reason MalformedRequest
     virtual std::optional<RequestFacts> readRequest(const HttpRequest &request, LastReason &reason) const = 0;
+    /// @brief The header by which a response tells that its request has not run and will not.
+    virtual HttpHeader notRunHeader() const = 0;
     /// @brief Makes the request for the upstream from the received one.
     virtual HttpRequest makeUpstreamRequest(const HttpRequest &received, const DispatchFacts &facts) const = 0;
     /// @brief Decodes the head of an upstream's answer.
--- a/include/parsleyvane/net/httpserver.h
+++ b/include/parsleyvane/net/httpserver.h
@@ -114,6 +114,9 @@
 /// @brief Coroutine that answers one request.
 using ExchangeHandler = std::function<boost::asio::awaitable<void>(Exchange &)>;
 
+/// @brief Called before the server answers a request that it refuses itself; may add headers to the response.
+using RefusalHandler = std::function<void(Exchange &, const Failure &)>;
+
 /// @brief JSON body of an error response.
 std::string failureJson(const Failure &failure);
 
@@ -131,6 +134,8 @@
     // modifiers
     /// @brief Listens. @param reason InvalidSetting when the address cannot be used
     bool listen(const boost::asio::ip::tcp::endpoint &endpoint, LastReason &reason);
+    /// @brief Sets the handler of requests that the server refuses: malformed, too large or too slow.
+    void onRefusal(RefusalHandler newHandler);
     /// @brief Sets the limits for later requests and connections.
     void setLimits(const ServerLimits &newLimits);
     /// @brief Stops accepting connections; requests in flight complete, and their connections close afterwards.
@@ -148,11 +153,13 @@
 private:
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+    boost::asio::awaitable<void> refuse(Exchange &exchange, Failure failure);
     boost::asio::awaitable<bool> serveOne(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer);
 
     boost::asio::io_context &context;
     ServerLimits limits;
     ExchangeHandler handler;
+    RefusalHandler refusalHandler;
     boost::asio::ip::tcp::acceptor acceptor;
     std::set<boost::beast::tcp_stream *> idleStreams;
     std::size_t openConnections = 0;
--- a/src/net/forward/forwardedrequest.cpp
+++ b/src/net/forward/forwardedrequest.cpp
@@ -57,6 +57,20 @@
     return context.fleetView.shifts[service];
 }
 
+void recordRefusal(ForwardContext &context, Exchange &exchange, const Failure &failure)
+{
+    exchange.addHeader(context.platform.notRunHeader());
+    LastReason ignored;
+    const auto facts = context.platform.readRequest(exchange.request(), ignored);
+    context.metrics.countEvent("refused_request");
+    context.log.line("refused_request",
+                     {{"id", facts ? facts->id.str() : "-"},
+                      {"status", static_cast<std::int64_t>(httpStatus(failure.id))},
+                      {"why", errorName(failure.id)},
+                      {"run", runStateName(failure.runState)},
+                      {"detail", failure.detail}});
+}
+
 ForwardedRequest::ForwardedRequest(ForwardContext &context, Exchange &exchange)
     : context(context)
     , exchange(exchange)
@@ -484,6 +498,10 @@
     this->isAnswered = true;
     int status = httpStatus(failure.id);
     std::vector<HttpHeader> head = {{"Content-Type", "application/json"}};
+    if (failure.id == ErrorId::MalformedRequest) {
+        head.push_back(this->context.platform.notRunHeader());
+        this->exchange.closeAfterwards();
+    }
     const bool isOwnFault = status >= statusServerError || failure.id == ErrorId::Quarantined;
     if (isOwnFault && failure.runState == RunState::NotRun) {
         status = statusUnavailable;
--- a/src/net/forward/ingressinstance.cpp
+++ b/src/net/forward/ingressinstance.cpp
@@ -73,6 +73,8 @@
                 [this](Exchange &exchange) { return this->handleOperator(exchange); })
     , shutdown(static_cast<ShutdownActions &>(*this))
 {
+    this->clients.onRefusal(
+        [this](Exchange &exchange, const Failure &failure) { recordRefusal(this->context, exchange, failure); });
     this->applyBounds();
     this->applyConfiguration();
 }
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -286,6 +286,11 @@
     return true;
 }
 
+void HttpServer::onRefusal(RefusalHandler newHandler)
+{
+    this->refusalHandler = std::move(newHandler);
+}
+
 void HttpServer::setLimits(const ServerLimits &newLimits)
 {
     this->limits = newLimits;
@@ -336,6 +341,14 @@
     --this->openConnections;
 }
 
+asio::awaitable<void> HttpServer::refuse(Exchange &exchange, Failure failure)
+{
+    if (this->refusalHandler) {
+        this->refusalHandler(exchange, failure);
+    }
+    co_await exchange.respond(std::move(failure));
+}
+
 asio::awaitable<bool> HttpServer::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
     boost::system::error_code error;
@@ -364,7 +377,7 @@
     Exchange exchange(stream, parser.release(), this->limits.writeTimeout);
     if (error || defect) {
         Failure failure = defect ? malformedRequest(std::move(*defect)) : receiveFailure(error);
-        co_await exchange.respond(std::move(failure));
+        co_await this->refuse(exchange, std::move(failure));
         co_return false;
     }
     stream.expires_never();
--- a/src/net/instance.cpp
+++ b/src/net/instance.cpp
@@ -89,6 +89,9 @@
                      [this](Exchange &e) { return this->operators.handle(e); })
     , shutdown(static_cast<ShutdownActions &>(*this))
 {
+    this->clientServer.onRefusal([this](Exchange &, const Failure &failure) {
+        this->metrics.countRequest(AccountId(""), TaskName(""), errorName(failure.id));
+    });
     this->blackboard.instance = settings.id;
     this->blackboard.zone = settings.zone;
 }
--- a/tests/fakeplatform.h
+++ b/tests/fakeplatform.h
@@ -244,6 +244,11 @@
         return std::nullopt;
     }
 
+    HttpHeader notRunHeader() const override
+    {
+        return {};
+    }
+
     HttpRequest makeUpstreamRequest(const HttpRequest &received, const DispatchFacts &) const override
     {
         return received;
@@ -390,6 +395,11 @@
         return this->store.readRequest(request, reason);
     }
 
+    HttpHeader notRunHeader() const override
+    {
+        return this->store.notRunHeader();
+    }
+
     HttpRequest makeUpstreamRequest(const HttpRequest &received, const DispatchFacts &facts) const override
     {
         return this->store.makeUpstreamRequest(received, facts);
--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -73,6 +73,8 @@
                  })
         , table(std::make_shared<RouteTable>(Revision(1)))
     {
+        this->server.onRefusal(
+            [this](Exchange &exchange, const Failure &failure) { recordRefusal(this->context, exchange, failure); });
         this->context.phase = ForwardPhase::Serving;
         this->context.fleetView.upstreamsKnown = true;
         this->context.budget.setBounds({.ratio = 10, .slack = 1000});
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -1,5 +1,6 @@
 #include "suite.h"
 
+#include "capturedoutput.h"
 #include "forwardrig.h"
 #include "instancerig.h"
 #include "rawmessage.h"
@@ -81,7 +82,7 @@
     CPPUNIT_ASSERT_MESSAGE(what, answer.starts_with("HTTP/1.1 " + std::to_string(status)));
     CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1}, countOf(answer, "HTTP/1.1 "));
     CPPUNIT_ASSERT_MESSAGE(what, rig.took < promptly);
-    CPPUNIT_ASSERT_MESSAGE(what, contains(answer, R"("run":"not_run")"));
+    CPPUNIT_ASSERT_MESSAGE(what, contains(answer, R"("run":"not_run")") && contains(answer, notExecutedHeader));
 }
 
 void expectRefused(const std::vector<MessageChange> &changes)
@@ -130,6 +131,8 @@
     CPPUNIT_TEST(aLastChunkInPiecesIsRead);
     CPPUNIT_TEST(anyBytesInAnyPiecesLeaveTheIngressRunning);
     CPPUNIT_TEST(pipelinedRequestsAreRunInOrder);
+    CPPUNIT_TEST(aRequestWithoutAnIdIsRefused);
+    CPPUNIT_TEST(aRefusedRequestIsLoggedAndCounted);
     CPPUNIT_TEST(everyListenerOfTheIngressRefusesAMalformedRequest);
     CPPUNIT_TEST(everyListenerOfTheIngressAcceptsAnUnusualForm);
     CPPUNIT_TEST_SUITE_END();
@@ -243,6 +246,26 @@
         }
     }
 
+    void aRequestWithoutAnIdIsRefused()
+    {
+        expectRefused("no id", rawRequest({}, content).text() + nextRequest());
+        const std::string id = lineOf(requestIdHeader());
+        expectRefused("two ids", rawRequest({id, id}, content).text() + nextRequest());
+    }
+
+    void aRefusedRequestIsLoggedAndCounted()
+    {
+        const std::string output = capturedOutput(STDOUT_FILENO, []() {
+            RequestRig rig({.log = {}});
+            rig.send(unsupportedCodings().front().changed(soundRequest()));
+            rig.log.flush();
+            CPPUNIT_ASSERT(contains(rig.metrics.text(), "refused_request"));
+        });
+        const std::string line = "event=refused_request id=r-1 status=400 why=malformed-request run=not_run "
+                                 "detail=\"unsupported transfer coding\"";
+        CPPUNIT_ASSERT_MESSAGE(output, contains(output, line));
+    }
+
     /// Callers, operators and other instances: one rule for all of them.
     void everyListenerOfTheIngressRefusesAMalformedRequest()
     {
