Let the refusal of a request reach a client that goes on sending

Callers saw: a reset in place of the refusal where they still sent the body of a request that was refused, or where more bytes arrived behind it. A reset promises nothing, so that a request which must not run twice was lost though it had not run. The refusal itself said "Connection: keep-alive".

Cause: HttpServer closed the connection right after the response. A connection that is closed with unread bytes is reset, and the client's kernel may drop the response (RFC 9112, section 9.6).

Change: after a refusal the server closes its sending side and reads on for up to a second what it drops, until the client closes. The response says that the connection closes.

--- a/include/parsleyvane/net/httpserver.h
+++ b/include/parsleyvane/net/httpserver.h
@@ -153,7 +153,7 @@
 private:
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
-    boost::asio::awaitable<void> refuse(Exchange &exchange, Failure failure);
+    boost::asio::awaitable<void> refuse(boost::beast::tcp_stream &stream, Exchange &exchange, Failure failure);
     boost::asio::awaitable<bool> serveOne(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer);
 
     boost::asio::io_context &context;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -75,6 +75,21 @@
     return failure;
 }
 
+/// Closes the sending side, then reads and drops what the client goes on sending. A connection that is closed with
+/// unread bytes is reset, by which the client may lose the response (RFC 9112, section 9.6).
+asio::awaitable<void> discardInput(beast::tcp_stream &stream)
+{
+    constexpr Milliseconds lingerTimeout{1000};
+    constexpr std::size_t readBytes = 16384;
+    std::vector<char> discarded(readBytes);
+    boost::system::error_code error;
+    stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    stream.expires_after(lingerTimeout);
+    while (!error) {
+        co_await stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
 void reportException(const std::exception &error)
 {
     LOG(ERROR) << "unhandled exception while serving a request: " << error.what();
@@ -341,12 +356,16 @@
     --this->openConnections;
 }
 
-asio::awaitable<void> HttpServer::refuse(Exchange &exchange, Failure failure)
+asio::awaitable<void> HttpServer::refuse(beast::tcp_stream &stream, Exchange &exchange, Failure failure)
 {
+    exchange.closeAfterwards();
     if (this->refusalHandler) {
         this->refusalHandler(exchange, failure);
     }
-    co_await exchange.respond(std::move(failure));
+    const bool isSent = co_await exchange.respond(std::move(failure));
+    if (isSent) {
+        co_await discardInput(stream);
+    }
 }
 
 asio::awaitable<bool> HttpServer::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
@@ -377,7 +396,7 @@
     Exchange exchange(stream, parser.release(), this->limits.writeTimeout);
     if (error || defect) {
         Failure failure = defect ? malformedRequest(std::move(*defect)) : receiveFailure(error);
-        co_await this->refuse(exchange, std::move(failure));
+        co_await this->refuse(stream, exchange, std::move(failure));
         co_return false;
     }
     stream.expires_never();
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -82,6 +82,7 @@
     CPPUNIT_ASSERT_MESSAGE(what, answer.starts_with("HTTP/1.1 " + std::to_string(status)));
     CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1}, countOf(answer, "HTTP/1.1 "));
     CPPUNIT_ASSERT_MESSAGE(what, rig.took < promptly);
+    CPPUNIT_ASSERT_MESSAGE(what, contains(answer, "Connection: close\r\n"));
     CPPUNIT_ASSERT_MESSAGE(what, contains(answer, R"("run":"not_run")") && contains(answer, notExecutedHeader));
 }
 
@@ -126,6 +127,7 @@
     CPPUNIT_TEST(anUnsupportedTransferCodingIsRefused);
     CPPUNIT_TEST(aMalformedRequestLineIsRefused);
     CPPUNIT_TEST(aMalformedFieldIsRefused);
+    CPPUNIT_TEST(theRefusalReachesAClientThatGoesOnSending);
     CPPUNIT_TEST(anUnusualFormIsRun);
     CPPUNIT_TEST(aRequestThatArrivesByteByByteIsRun);
     CPPUNIT_TEST(aLastChunkInPiecesIsRead);
@@ -164,6 +166,18 @@
         expectRefused(malformedFields());
     }
 
+    /// Guards against a reset, by which a client would lose the refusal that it has not read yet.
+    void theRefusalReachesAClientThatGoesOnSending()
+    {
+        constexpr std::size_t uploadBytes = 4U << 20U;
+        for (const MessageChange &change : unsupportedCodings()) {
+            RawMessage request = soundRequest();
+            change.apply(request);
+            request.body = std::string(uploadBytes, 'u');
+            expectRefused(change.name, request.text());
+        }
+    }
+
     void anUnusualFormIsRun()
     {
         for (const MessageChange &change : unusualRequests()) {
