Refuse a Connection field that names what upstreams need

Callers saw: a request whose Connection field names Host ended as 502, or with an upstream that accepts it, as an answer to a request without a host. Named in Connection, the id, model, token counts, prompt and session of a request were taken away too; an upstream ran such a request without its id, twice for one attempt, as its answers could not be told apart.

Cause: the front removes what Connection names (RFC 9110, section 7.6.1), also where the field is for all recipients and the same section forbids the sender to name it.

Opposite error: options such as TE, Upgrade, Transfer-Encoding and unknown fields are accepted as before (unusualRequests()).

--- a/include/parsleyvane/net/messagesyntax.h
+++ b/include/parsleyvane/net/messagesyntax.h
@@ -8,6 +8,8 @@
 #pragma once
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <optional>
 #include <string>
@@ -25,6 +27,9 @@
 /// @brief Reports the first defect of a request's head, as for a response's.
 std::optional<std::string> findHeadDefect(const boost::beast::http::request_header<> &head, bool isChunked);
 
+/// @brief Whether a Connection field names the other field, which then concerns this connection only (RFC 9110, 7.6.1).
+bool isNamedByConnection(const boost::beast::http::fields &fields, boost::beast::string_view name);
+
 /// @brief Reports a defect of the last chunk and the trailer section, as findHeadDefect().
 std::optional<std::string> findTrailerDefect(std::string_view lines);
 
--- a/src/net/messagesyntax.cpp
+++ b/src/net/messagesyntax.cpp
@@ -86,9 +86,19 @@
 
 std::optional<std::string> findHeadDefect(const http::request_header<> &head, bool isChunked)
 {
+    if (isNamedByConnection(head, "Host")) {
+        // Without it, no upstream could accept the request.
+        return "Connection names Host";
+    }
     return findCodingDefect(head, head.version(), isChunked);
 }
 
+bool isNamedByConnection(const http::fields &fields, beast::string_view name)
+{
+    const auto [first, last] = fields.equal_range(http::field::connection);
+    return std::any_of(first, last, [&](const auto &field) { return http::token_list(field.value()).exists(name); });
+}
+
 std::optional<std::string> findTrailerDefect(std::string_view lines)
 {
     return hasFoldedLine(lines) ? std::optional<std::string>("folded trailer line") : std::nullopt;
--- a/tests/rawmessage.h
+++ b/tests/rawmessage.h
@@ -333,6 +333,22 @@
     return changes;
 }
 
+/// @brief Connection fields that name Host, which is for all recipients (RFC 9110, section 7.6.1).
+inline std::vector<MessageChange> hostsOfOneConnection()
+{
+    std::vector<MessageChange> changes;
+    for (const std::string value : {"Host", "host", "close, HOST", ", Host ,"}) {
+        changes.push_back({"connection " + value, [value](RawMessage &request) {
+                               request.fields.insert(request.fields.begin(), "Connection: " + value);
+                           }});
+    }
+    changes.push_back({"host in the second line of options", [](RawMessage &request) {
+                           request.fields.push_back("Connection: keep-alive");
+                           request.fields.push_back("Connection: Host");
+                       }});
+    return changes;
+}
+
 /// @brief unusualForms(), and those of requests alone.
 inline std::vector<MessageChange> unusualRequests()
 {
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(anUnsupportedTransferCodingIsRefused);
     CPPUNIT_TEST(aMalformedRequestLineIsRefused);
     CPPUNIT_TEST(aMalformedFieldIsRefused);
+    CPPUNIT_TEST(aHostOfOneConnectionIsRefused);
     CPPUNIT_TEST(theRefusalReachesAClientThatGoesOnSending);
     CPPUNIT_TEST(anUnusualFormIsRun);
     CPPUNIT_TEST(aRequestThatArrivesByteByByteIsRun);
@@ -166,6 +167,11 @@
         expectRefused(malformedFields());
     }
 
+    void aHostOfOneConnectionIsRefused()
+    {
+        expectRefused(hostsOfOneConnection());
+    }
+
     /// Guards against a reset, by which a client would lose the refusal that it has not read yet.
     void theRefusalReachesAClientThatGoesOnSending()
     {
@@ -285,7 +291,8 @@
     {
         InstanceRig rig(Milliseconds(0), testBound, true);
         rig.start();
-        for (const auto &changes : {unsupportedCodings(), malformedRequestLines(), malformedFields()}) {
+        for (const auto &changes :
+             {unsupportedCodings(), malformedRequestLines(), malformedFields(), hostsOfOneConnection()}) {
             for (const MessageChange &change : changes) {
                 for (const asio::ip::tcp::endpoint &listener : rig.listeners()) {
                     const auto client = rig.send(listener, change.changed(soundRequest()) + nextRequest());
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(readsAClientRequest);
     CPPUNIT_TEST(refusesARequestWithoutId);
     CPPUNIT_TEST(refusesARepeatedKeyOrId);
+    CPPUNIT_TEST(refusesAConnectionThatNamesAHeaderForUpstreams);
     CPPUNIT_TEST(forwardsMethodPathBodyAndIdUnchanged);
     CPPUNIT_TEST(doesNotForwardTheApiKey);
     CPPUNIT_TEST(removesHeadersReservedToTheSystem);
@@ -183,6 +184,22 @@
         }
     }
 
+    /// Guards against an upstream that runs a request without the client's model, session or id.
+    void refusesAConnectionThatNamesAHeaderForUpstreams()
+    {
+        for (const std::string header :
+             {"X-Parsleyvane-Attempt-Id", "X-Parsleyvane-Model", "X-Parsleyvane-Token-Counts",
+              "X-Parsleyvane-Prompt-Prefix", "X-Parsleyvane-Deadline-Ms", "X-Parsleyvane-Credential", "Session",
+              "Last-Event-Id"}) {
+            HttpRequest request = clientRequest();
+            request.insert(http::field::connection, "keep-alive");
+            request.insert(http::field::connection, "X-Any, " + header);
+            LastReason reason;
+            CPPUNIT_ASSERT_MESSAGE(header, !platform::readRequest(request, reason));
+            CPPUNIT_ASSERT_MESSAGE(header, reason.failure().id == ErrorId::MalformedRequest);
+        }
+    }
+
     void forwardsMethodPathBodyAndIdUnchanged()
     {
         const HttpRequest sent = platform::makeUpstreamRequest(
