Refuse requests without one valid Host at each listener

Seen: requests without a Host, with two, or with a value that names none, were judged by the platform's codec alone and by the lookup of the route. Operators' listeners, the relay and the chat front served them. The ingress front ran "Host: h:8x" and "h:80:80" as requests to h, and answered others, such as "h h" or "u@h", 404.

Cause: RFC 9112, section 3.2, asks each server for 400 there; no listener had the rule.

Change: findHeadDefect() has it. HTTP/1.0 requests need no Host for the rule; a route still does.

Evidence: aRequestWithoutOneValidHostIsRefused, the listeners' test and multi-requests fail on. Opposite error: ports, empty ports and blanks around the value are accepted (unusualRequests()). Operators' scripts that send HTTP/1.1 without a Host get 400 from now on.

--- a/src/net/messagesyntax.cpp
+++ b/src/net/messagesyntax.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/beast/http/rfc7230.hpp>
+#include <boost/url/authority_view.hpp>
 #include <utility>
 
 namespace parsleyvane {
@@ -66,6 +67,13 @@
     return std::nullopt;
 }
 
+/// A host and a port, both of which may be empty (RFC 9110, section 7.2).
+bool isValidHost(beast::string_view value)
+{
+    const auto authority = boost::urls::parse_authority({value.data(), value.size()});
+    return authority && !authority->has_userinfo();
+}
+
 bool hasFoldedLine(std::string_view lines)
 {
     return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
@@ -86,6 +94,13 @@
 
 std::optional<std::string> findHeadDefect(const http::request_header<> &head, bool isChunked)
 {
+    const std::size_t hosts = head.count(http::field::host);
+    if (hosts > 1 || (hosts == 0 && head.version() >= http11)) {
+        return hosts > 1 ? "more than one Host" : "no Host";
+    }
+    if (!isValidHost(head[http::field::host])) {
+        return "malformed Host";
+    }
     if (isNamedByConnection(head, "Host")) {
         // Without it, no upstream could accept the request.
         return "Connection names Host";
--- a/tests/rawmessage.h
+++ b/tests/rawmessage.h
@@ -333,6 +333,27 @@
     return changes;
 }
 
+/// @brief Requests without one valid Host (RFC 9112, section 3.2).
+inline std::vector<MessageChange> malformedHosts()
+{
+    std::vector<MessageChange> changes;
+    changes.push_back({"no host", [](RawMessage &request) {
+                           request.fields.erase(request.fields.begin());
+                       }});
+    for (const std::string line : {"Host: h", "host: other", "Host:"}) {
+        changes.push_back({"second host " + line, [line](RawMessage &request) {
+                               request.fields.push_back(line);
+                           }});
+    }
+    for (const std::string value : {"h h", "h/r", "h?", "h#", "u@h", "h:8x", "h:80:80", "http://h", "[::1", "[h]",
+                                    "h%2", "h\xc3\xa9", "h\"", "<h>"}) {
+        changes.push_back({"host " + value, [value](RawMessage &request) {
+                               request.fields.front() = "Host: " + value;
+                           }});
+    }
+    return changes;
+}
+
 /// @brief Connection fields that name Host, which is for all recipients (RFC 9110, section 7.6.1).
 inline std::vector<MessageChange> hostsOfOneConnection()
 {
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(anUnsupportedTransferCodingIsRefused);
     CPPUNIT_TEST(aMalformedRequestLineIsRefused);
     CPPUNIT_TEST(aMalformedFieldIsRefused);
+    CPPUNIT_TEST(aRequestWithoutOneValidHostIsRefused);
     CPPUNIT_TEST(aHostOfOneConnectionIsRefused);
     CPPUNIT_TEST(theRefusalReachesAClientThatGoesOnSending);
     CPPUNIT_TEST(anUnusualFormIsRun);
@@ -167,6 +168,11 @@
         expectRefused(malformedFields());
     }
 
+    void aRequestWithoutOneValidHostIsRefused()
+    {
+        expectRefused(malformedHosts());
+    }
+
     void aHostOfOneConnectionIsRefused()
     {
         expectRefused(hostsOfOneConnection());
@@ -291,8 +297,8 @@
     {
         InstanceRig rig(Milliseconds(0), testBound, true);
         rig.start();
-        for (const auto &changes :
-             {unsupportedCodings(), malformedRequestLines(), malformedFields(), hostsOfOneConnection()}) {
+        for (const auto &changes : {unsupportedCodings(), malformedRequestLines(), malformedFields(),
+                                    hostsOfOneConnection(), malformedHosts()}) {
             for (const MessageChange &change : changes) {
                 for (const asio::ip::tcp::endpoint &listener : rig.listeners()) {
                     const auto client = rig.send(listener, change.changed(soundRequest()) + nextRequest());
