Bound what is read of a chunk's extensions and of trailers

Seen: a client that sends a chunk's extension or a trailer without end has all of it held until the time for the request is over; the limits on head and body do not count it.

Cause: the parser takes the line of a chunk, and the trailers, only when they are complete, and the connection's buffer had no limit. HttpCall's has had one for answers.

Change: the buffer has HttpCall's limit, 65,536 bytes, or that of the head if it is larger; beyond it the request is refused as too large (413, RFC 9112, section 7.1.1).

--- a/include/parsleyvane/net/httpserver.h
+++ b/include/parsleyvane/net/httpserver.h
@@ -154,7 +154,7 @@
     boost::asio::awaitable<void> acceptLoop();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
     boost::asio::awaitable<void> refuse(boost::beast::tcp_stream &stream, Exchange &exchange, Failure failure);
-    boost::asio::awaitable<bool> serveOne(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer);
+    boost::asio::awaitable<bool> serveOne(boost::beast::tcp_stream &stream, RecordingBuffer &buffer);
 
     boost::asio::io_context &context;
     ServerLimits limits;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -4,6 +4,7 @@
 
 #include "net/firstchunk.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -26,6 +27,8 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr std::size_t firstReadBytes = 4096;
+/// Bytes of a body held before they are parsed. Chunk extensions and trailers are parsed whole, so this is their limit.
+constexpr std::size_t maxUnparsedBytes = 65536;
 const std::string jsonType = "application/json";
 
 std::string reasonPhrase(int status)
@@ -67,7 +70,8 @@
 Failure receiveFailure(const boost::system::error_code &error)
 {
     Failure failure = malformedRequest(error.message());
-    if (error == http::error::body_limit || error == http::error::header_limit) {
+    if (error == http::error::body_limit || error == http::error::header_limit
+        || error == http::error::buffer_overflow) {
         failure.id = ErrorId::TooLarge;
     } else if (error == beast::error::timeout) {
         failure.id = ErrorId::TooSlow;
@@ -96,7 +100,7 @@
 }
 
 /// Reads one request. @return a defect of its head, whose body is not read then
-asio::awaitable<std::optional<std::string>> readRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer,
+asio::awaitable<std::optional<std::string>> readRequest(beast::tcp_stream &stream, RecordingBuffer &buffer,
                                                         RequestParser &parser, boost::system::error_code &error)
 {
     co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
@@ -346,7 +350,7 @@
     boost::system::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    RecordingBuffer buffer(maxUnparsedBytes);
     try {
         while (this->accepting && co_await this->serveOne(stream, buffer)) { }
     } catch (const std::exception &error) {
@@ -368,7 +372,7 @@
     }
 }
 
-asio::awaitable<bool> HttpServer::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+asio::awaitable<bool> HttpServer::serveOne(beast::tcp_stream &stream, RecordingBuffer &buffer)
 {
     boost::system::error_code error;
     if (buffer.size() == 0) {
@@ -381,6 +385,7 @@
         buffer.commit(bytesRead);
     }
     // The limits may have changed while the connection was idle.
+    buffer.max_size(std::max({std::size_t{this->limits.headBytes}, maxUnparsedBytes, buffer.size()}));
     RequestParser parser;
     parser.header_limit(this->limits.headBytes);
     parser.body_limit(this->limits.bodyBytes);
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -129,6 +129,7 @@
     CPPUNIT_TEST(aMalformedFieldIsRefused);
     CPPUNIT_TEST(aRequestWithoutOneValidHostIsRefused);
     CPPUNIT_TEST(aHostOfOneConnectionIsRefused);
+    CPPUNIT_TEST(aChunkWithoutEndIsRefused);
     CPPUNIT_TEST(theRefusalReachesAClientThatGoesOnSending);
     CPPUNIT_TEST(anUnusualFormIsRun);
     CPPUNIT_TEST(aRequestThatArrivesByteByByteIsRun);
@@ -178,6 +179,18 @@
         expectRefused(hostsOfOneConnection());
     }
 
+    /// Guards against a client that exhausts the memory with a chunk's extensions or with trailers.
+    void aChunkWithoutEndIsRefused()
+    {
+        constexpr std::size_t tooMany = 1U << 20U;
+        for (const std::string begin : {"1;", "0\r\nX-Late: "}) {
+            RawMessage request = soundRequest();
+            request.framing = {"Transfer-Encoding: chunked"};
+            request.body = begin + std::string(tooMany, 'x');
+            expectRefused(begin, request.text(), 413);
+        }
+    }
+
     /// Guards against a reset, by which a client would lose the refusal that it has not read yet.
     void theRefusalReachesAClientThatGoesOnSending()
     {
