Judge field lines, chunks and trailers of requests as those of answers

Seen: requests with folded lines in the head or the trailers, and with control characters in the quoted strings of a chunk's extensions, were run. A folded "Content-Length" left its request without a body, whose bytes were parsed as the next request.

Cause: the rule of answers was applied by HttpCall only.

Change: HttpServer's connections have a RecordingBuffer, and findHeadDefect() and findTrailerDefect() reject folds (RFC 9112, section 5.2, permits it). chunkChecker() makes the parser's handler for both directions. A server parses many chunks at a time, so that the recording of the trailers begins where the last chunk's extensions stand, instead of at the first byte that was not consumed: a body with a line end and a blank is no fold.

Opposite error: clients that fold lines, which no sender may do, get 400; the section would permit to replace the fold by a blank.

--- a/include/parsleyvane/net/httpclient.h
+++ b/include/parsleyvane/net/httpclient.h
@@ -137,12 +137,9 @@
 
 private:
     using HeadParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-    using ChunkHandler
-        = std::function<void(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &)>;
 
     /// Reads the head of an interim or the final response; returns the status.
     boost::asio::awaitable<std::optional<int>> readNextHead(LastReason &reason);
-    void onChunk(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error);
     /// Closes the connection: where a malformed response ends is unknown.
     std::nullopt_t rejectResponse(std::string defect, LastReason &reason);
     Failure failureOf(const boost::system::error_code &error) const;
--- a/include/parsleyvane/net/messagesyntax.h
+++ b/include/parsleyvane/net/messagesyntax.h
@@ -11,6 +11,8 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
+#include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,7 +27,8 @@
                                           bool isChunked);
 
 /// @brief Reports the first defect of a request's head, as for a response's.
-std::optional<std::string> findHeadDefect(const boost::beast::http::request_header<> &head, bool isChunked);
+std::optional<std::string> findHeadDefect(const boost::beast::http::request_header<> &head, std::string_view lines,
+                                          bool isChunked);
 
 /// @brief Whether a Connection field names the other field, which then concerns this connection only (RFC 9110, 7.6.1).
 bool isNamedByConnection(const boost::beast::http::fields &fields, boost::beast::string_view name);
@@ -33,9 +36,6 @@
 /// @brief Reports a defect of the last chunk and the trailer section, as findHeadDefect().
 std::optional<std::string> findTrailerDefect(std::string_view lines);
 
-/// @brief Whether the extensions of a chunk hold a control character. The parser does not check quoted strings.
-bool hasControlCharacter(std::string_view chunkExtensions);
-
 /**
  * @brief A buffer that keeps a copy of what is consumed while it is recording.
  *
@@ -53,6 +53,8 @@
     // modifiers
     /// @brief Starts a new recording.
     void startRecording();
+    /// @brief Starts a new recording with these bytes, which are among the readable ones.
+    void startRecording(const char *first);
     /// @brief Ends the recording. @return the bytes consumed since it was started; empty when there is none
     std::string stopRecording();
     /// @brief Removes bytes from the beginning of the readable ones.
@@ -60,7 +62,19 @@
 
 private:
     bool isRecording = false;
+    std::size_t skippedBytes = 0; ///< readable bytes before the recording
     std::string recorded;
 };
 
+/// @brief A parser's handler for the headers of chunks.
+using ChunkHandler
+    = std::function<void(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error)>;
+
+/**
+ * @brief A handler that rejects control characters in a chunk's extensions, whose quoted strings the parser does not
+ * check, and records the last chunk with the trailer section.
+ * @param buffer that the parser reads from; must outlive the handler
+ */
+ChunkHandler chunkChecker(RecordingBuffer &buffer);
+
 } // namespace parsleyvane
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -35,9 +35,7 @@
     , limits(limits)
     , socket(executor)
     , buffer(maxUnparsedBytes)
-    , chunkHandler([this](std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error) {
-        this->onChunk(size, extensions, error);
-    })
+    , chunkHandler(chunkChecker(this->buffer))
     , watchdog(executor)
     , readBuffer(readBufferBytes)
 {
@@ -255,16 +253,6 @@
     co_return this->responseHead.result_int();
 }
 
-void HttpCall::onChunk(std::uint64_t size, boost::beast::string_view extensions, boost::system::error_code &error)
-{
-    if (hasControlCharacter({extensions.data(), extensions.size()})) {
-        error = http::error::bad_chunk_extension;
-    }
-    if (size == 0) {
-        this->buffer.startRecording();
-    }
-}
-
 std::nullopt_t HttpCall::rejectResponse(std::string defect, LastReason &reason)
 {
     this->close();
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -99,24 +99,31 @@
     LOG(ERROR) << "unhandled exception while serving a request: " << error.what();
 }
 
-/// Reads one request. @return a defect of its head, whose body is not read then
+/// Reads one request. @return its first defect; the body that follows a defect of the head is not read
 asio::awaitable<std::optional<std::string>> readRequest(beast::tcp_stream &stream, RecordingBuffer &buffer,
                                                         RequestParser &parser, boost::system::error_code &error)
 {
+    buffer.startRecording();
     co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    const std::string lines = buffer.stopRecording();
     if (error) {
         co_return std::nullopt;
     }
-    if (auto defect = findHeadDefect(parser.get(), parser.chunked())) {
+    if (auto defect = findHeadDefect(parser.get(), lines, parser.chunked())) {
         co_return defect;
     }
+    ChunkHandler chunkHandler = chunkChecker(buffer);
+    parser.on_chunk_header(chunkHandler);
     if (parser.chunked()) {
         co_await awaitFirstChunk(stream, buffer, error);
     }
     if (!error && !parser.is_done()) {
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
-    co_return std::nullopt;
+    if (error) {
+        co_return std::nullopt;
+    }
+    co_return findTrailerDefect(buffer.stopRecording());
 }
 
 /// Whether the connection was closed or broken, so that no response can be delivered.
--- a/src/net/messagesyntax.cpp
+++ b/src/net/messagesyntax.cpp
@@ -1,6 +1,7 @@
 #include "parsleyvane/net/messagesyntax.h"
 
 #include <algorithm>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/url/authority_view.hpp>
 #include <utility>
@@ -52,9 +53,29 @@
     return codings == 1;
 }
 
-/// A transfer coding that the parser does not decode leaves the body's end unknown (RFC 9112, sections 6.1 and 6.3).
-std::optional<std::string> findCodingDefect(const http::fields &fields, unsigned version, bool isChunked)
+bool hasFoldedLine(std::string_view lines)
+{
+    return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
+}
+
+bool hasControlCharacter(beast::string_view chunkExtensions)
 {
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteCharacter = 0x7F;
+    return std::any_of(chunkExtensions.begin(), chunkExtensions.end(), [](char character) {
+        const auto byte = static_cast<unsigned char>(character);
+        return (byte < firstPrintable && character != '\t') || byte == deleteCharacter;
+    });
+}
+
+/// The rule on fields that requests and responses have in common. A transfer coding that the parser does not decode
+/// leaves the body's end unknown (RFC 9112, sections 5.2, 6.1 and 6.3).
+std::optional<std::string> findFieldDefect(const http::fields &fields, unsigned version, std::string_view lines,
+                                           bool isChunked)
+{
+    if (hasFoldedLine(lines)) {
+        return "folded field line";
+    }
     if (fields.count(http::field::transfer_encoding) == 0) {
         return std::nullopt;
     }
@@ -74,11 +95,6 @@
     return authority && !authority->has_userinfo();
 }
 
-bool hasFoldedLine(std::string_view lines)
-{
-    return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
-}
-
 } // namespace
 
 std::optional<std::string> findHeadDefect(const http::response_header<> &head, std::string_view lines, bool isChunked)
@@ -86,13 +102,10 @@
     if (!isValidStatus(head.result_int())) {
         return "status " + statusText(head.result_int());
     }
-    if (hasFoldedLine(lines)) {
-        return "folded field line";
-    }
-    return findCodingDefect(head, head.version(), isChunked);
+    return findFieldDefect(head, head.version(), lines, isChunked);
 }
 
-std::optional<std::string> findHeadDefect(const http::request_header<> &head, bool isChunked)
+std::optional<std::string> findHeadDefect(const http::request_header<> &head, std::string_view lines, bool isChunked)
 {
     const std::size_t hosts = head.count(http::field::host);
     if (hosts > 1 || (hosts == 0 && head.version() >= http11)) {
@@ -105,7 +118,7 @@
         // Without it, no upstream could accept the request.
         return "Connection names Host";
     }
-    return findCodingDefect(head, head.version(), isChunked);
+    return findFieldDefect(head, head.version(), lines, isChunked);
 }
 
 bool isNamedByConnection(const http::fields &fields, beast::string_view name)
@@ -119,22 +132,19 @@
     return hasFoldedLine(lines) ? std::optional<std::string>("folded trailer line") : std::nullopt;
 }
 
-bool hasControlCharacter(std::string_view chunkExtensions)
-{
-    constexpr unsigned char firstPrintable = 0x20;
-    constexpr unsigned char deleteCharacter = 0x7F;
-    return std::any_of(chunkExtensions.begin(), chunkExtensions.end(), [](char character) {
-        const auto byte = static_cast<unsigned char>(character);
-        return (byte < firstPrintable && character != '\t') || byte == deleteCharacter;
-    });
-}
-
 void RecordingBuffer::startRecording()
 {
     this->isRecording = true;
+    this->skippedBytes = 0;
     this->recorded.clear();
 }
 
+void RecordingBuffer::startRecording(const char *first)
+{
+    this->startRecording();
+    this->skippedBytes = static_cast<std::size_t>(first - static_cast<const char *>(this->data().data()));
+}
+
 std::string RecordingBuffer::stopRecording()
 {
     this->isRecording = false;
@@ -144,10 +154,24 @@
 void RecordingBuffer::consume(std::size_t count)
 {
     if (this->isRecording) {
-        const auto readable = this->data();
-        this->recorded.append(static_cast<const char *>(readable.data()), std::min(count, readable.size()));
+        const std::size_t consumed = std::min(count, this->size());
+        const std::size_t skipped = std::min(consumed, this->skippedBytes);
+        this->recorded.append(static_cast<const char *>(this->data().data()) + skipped, consumed - skipped);
+        this->skippedBytes -= skipped;
     }
     this->beast::flat_buffer::consume(count);
 }
 
+ChunkHandler chunkChecker(RecordingBuffer &buffer)
+{
+    return [&buffer](std::uint64_t size, beast::string_view extensions, boost::system::error_code &error) {
+        if (hasControlCharacter(extensions)) {
+            error = http::error::bad_chunk_extension;
+        }
+        if (size == 0) {
+            buffer.startRecording(extensions.data());
+        }
+    };
+}
+
 } // namespace parsleyvane
--- a/tests/multi-requests.cpp
+++ b/tests/multi-requests.cpp
@@ -71,9 +71,9 @@
         Scenario scenario({.name = "requests", .instances = 1, .engines = 1});
         const Member &instance = scenario.fleet.instance(0);
         for (const std::string &listener : {instance.address, instance.operators}) {
-            for (const auto &changes :
-                 {test::unsupportedCodings(), test::malformedRequestLines(), test::malformedFields(),
-                  test::hostsOfOneConnection(), test::malformedHosts()}) {
+            for (const auto &changes : {test::unsupportedCodings(), test::malformedRequestLines(),
+                                        test::malformedFields(), test::malformedFraming(), test::hostsOfOneConnection(),
+                                        test::malformedHosts(), test::foldedFields()}) {
                 for (const MessageChange &change : changes) {
                     this->expectRefused(listener, change);
                 }
--- a/tests/rawmessage.h
+++ b/tests/rawmessage.h
@@ -391,6 +391,10 @@
                                request.fields.push_back("X-Any: 1");
                            }});
     }
+    changes.push_back({"chunks of text with blanks after line ends", [](RawMessage &request) {
+                           request.content = "a\n b\r\n\tc\r\n\r\n d";
+                           request.setChunked();
+                       }});
     changes.push_back({"kept connection of HTTP/1.0", [](RawMessage &request) {
                            request.setVersion("HTTP/1.0");
                            request.fields.push_back("Connection: keep-alive");
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -127,6 +127,8 @@
     CPPUNIT_TEST(anUnsupportedTransferCodingIsRefused);
     CPPUNIT_TEST(aMalformedRequestLineIsRefused);
     CPPUNIT_TEST(aMalformedFieldIsRefused);
+    CPPUNIT_TEST(malformedFramingIsRefused);
+    CPPUNIT_TEST(aFoldedFieldIsRefused);
     CPPUNIT_TEST(aRequestWithoutOneValidHostIsRefused);
     CPPUNIT_TEST(aHostOfOneConnectionIsRefused);
     CPPUNIT_TEST(aChunkWithoutEndIsRefused);
@@ -169,6 +171,16 @@
         expectRefused(malformedFields());
     }
 
+    void malformedFramingIsRefused()
+    {
+        expectRefused(malformedFraming());
+    }
+
+    void aFoldedFieldIsRefused()
+    {
+        expectRefused(foldedFields());
+    }
+
     void aRequestWithoutOneValidHostIsRefused()
     {
         expectRefused(malformedHosts());
@@ -311,7 +323,7 @@
         InstanceRig rig(Milliseconds(0), testBound, true);
         rig.start();
         for (const auto &changes : {unsupportedCodings(), malformedRequestLines(), malformedFields(),
-                                    hostsOfOneConnection(), malformedHosts()}) {
+                                    malformedFraming(), hostsOfOneConnection(), malformedHosts(), foldedFields()}) {
             for (const MessageChange &change : changes) {
                 for (const asio::ip::tcp::endpoint &listener : rig.listeners()) {
                     const auto client = rig.send(listener, change.changed(soundRequest()) + nextRequest());
