Keep the trailers of a request out of its head

Seen: the trailers of a chunked request were forwarded as fields of its head, and judged as such. A trailer could set the model, the session or a second Host of the request that an upstream runs.

Cause: Beast's parser adds trailers to the fields that it parsed before.

Change: HttpServer restores the head after the body. Trailers are read, judged and dropped (RFC 9110, section 6.5.1, forbids to merge them).

Evidence: trailersAreNotForwardedAsFields fails on: "X-Late: 1" is in the upstream's request, "Host: other" gives 400.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -112,17 +112,24 @@
     if (auto defect = findHeadDefect(parser.get(), lines, parser.chunked())) {
         co_return defect;
     }
+    if (!parser.chunked()) {
+        if (!parser.is_done()) {
+            co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        }
+        co_return std::nullopt;
+    }
+    http::fields head = parser.get();
     ChunkHandler chunkHandler = chunkChecker(buffer);
     parser.on_chunk_header(chunkHandler);
-    if (parser.chunked()) {
-        co_await awaitFirstChunk(stream, buffer, error);
-    }
-    if (!error && !parser.is_done()) {
+    co_await awaitFirstChunk(stream, buffer, error);
+    if (!error) {
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     if (error) {
         co_return std::nullopt;
     }
+    // The parser has added the trailers, which may not change the head (RFC 9110, section 6.5.1).
+    static_cast<http::fields &>(parser.get()) = std::move(head);
     co_return findTrailerDefect(buffer.stopRecording());
 }
 
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -138,6 +138,7 @@
     CPPUNIT_TEST(aLastChunkInPiecesIsRead);
     CPPUNIT_TEST(anyBytesInAnyPiecesLeaveTheIngressRunning);
     CPPUNIT_TEST(pipelinedRequestsAreRunInOrder);
+    CPPUNIT_TEST(trailersAreNotForwardedAsFields);
     CPPUNIT_TEST(aRequestWithoutAnIdIsRefused);
     CPPUNIT_TEST(aRefusedRequestIsLoggedAndCounted);
     CPPUNIT_TEST(everyListenerOfTheIngressRefusesAMalformedRequest);
@@ -297,6 +298,20 @@
         }
     }
 
+    /// Guards against trailers that change what the router and the upstream read in the head (RFC 9110, 6.5.1).
+    void trailersAreNotForwardedAsFields()
+    {
+        for (const std::string line : {"X-Late: 1", "Host: other", "Connection: Host", "Connection: close",
+                                       "X-Folded: a", "Last-Event-Id: 7", "Session: other"}) {
+            RawMessage request = soundRequest();
+            request.setChunked("0\r\n" + line + "\r\n\r\n");
+            expectRun("trailer " + line, request);
+            RequestRig rig;
+            rig.send(request.text() + nextRequest());
+            CPPUNIT_ASSERT_MESSAGE(line, !contains(rig.runs().front(), line));
+        }
+    }
+
     void aRequestWithoutAnIdIsRefused()
     {
         expectRefused("no id", rawRequest({}, content).text() + nextRequest());
