Refuse CONNECT

Seen: CONNECT with a path was forwarded as any other method, and the bytes after it were read as the next request. After a success they belong to a tunnel, which no front opens.

Change: findHeadDefect() refuses the method (RFC 9110, section 9.3.6; RFC 9112, section 3.2.3: its target is no path).

Evidence: aMalformedRequestLineIsRefused fails on with "CONNECT /r/" as 200 and a second request run behind it.

--- a/src/net/messagesyntax.cpp
+++ b/src/net/messagesyntax.cpp
@@ -107,6 +107,10 @@
 
 std::optional<std::string> findHeadDefect(const http::request_header<> &head, std::string_view lines, bool isChunked)
 {
+    if (head.method() == http::verb::connect) {
+        // What follows is no request but the content of a tunnel (RFC 9110, section 9.3.6).
+        return "method CONNECT";
+    }
     const std::size_t hosts = head.count(http::field::host);
     if (hosts > 1 || (hosts == 0 && head.version() >= http11)) {
         return hosts > 1 ? "more than one Host" : "no Host";
--- a/tests/rawmessage.h
+++ b/tests/rawmessage.h
@@ -317,7 +317,7 @@
     return request;
 }
 
-/// @brief Malformed request lines (RFC 9112, section 3).
+/// @brief Malformed request lines (RFC 9112, section 3), and a method that no route can serve.
 inline std::vector<MessageChange> malformedRequestLines()
 {
     std::vector<MessageChange> changes;
@@ -325,7 +325,7 @@
          {"POST  /r/ HTTP/1.1", "POST\t/r/ HTTP/1.1", "POST /r/  HTTP/1.1", "POST /r/ HTTP/1.1 ", " POST /r/ HTTP/1.1",
           "POST /r/", "POST HTTP/1.1", "/r/ HTTP/1.1", "PO(ST /r/ HTTP/1.1", "POST /r/ \x01 HTTP/1.1",
           "POST /r/\x7f HTTP/1.1", "POST /r/ a HTTP/1.1", "POST /r/ HTTP/2.0", "POST /r/ HTTP/0.9", "POST /r/ HTTP/1.",
-          "POST /r/ http/1.1"}) {
+          "POST /r/ http/1.1", "CONNECT /r/ HTTP/1.1", "CONNECT h:80 HTTP/1.1"}) {
         changes.push_back({"request line " + line, [line](RawMessage &request) {
                                request.startLine = line;
                            }});
