Remove the fields that any Connection line names

Seen: fields of one connection were passed on, to upstreams and to callers, where a message has several Connection lines and another than the first one names them.

Cause: both sides looked at the first line only. RFC 9110, sections 5.3 and 7.6.1, makes the lines one list.

--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -3,11 +3,11 @@
 #include "parsleyvane/core/clock.h"
 #include "parsleyvane/net/endpoint.h"
 #include "parsleyvane/net/httpstatus.h"
+#include "parsleyvane/net/messagesyntax.h"
 #include "parsleyvane/retry/attempts.h"
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/http/rfc7230.hpp>
 #include <utility>
 
 namespace parsleyvane {
@@ -35,13 +35,12 @@
 std::vector<HttpHeader> forwardableHead(const http::response_header<> &head)
 {
     std::vector<HttpHeader> passed;
-    http::token_list connectionOnly(head[http::field::connection]);
     for (const auto &header : head) {
         const auto isNamed = [&](const char *name) {
             return boost::beast::iequals(header.name_string(), name);
         };
         const bool own = std::any_of(connectionHeaders.begin(), connectionHeaders.end(), isNamed);
-        if (!own && !connectionOnly.exists(header.name_string())) {
+        if (!own && !isNamedByConnection(head, header.name_string())) {
             passed.push_back({std::string(header.name_string()), std::string(header.value())});
         }
     }
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -155,6 +155,7 @@
     CPPUNIT_TEST(aMalformedAnswerIsLogged);
     CPPUNIT_TEST(trailersAreNotRelayedAsFields);
     CPPUNIT_TEST(anEmptyAnswerInPiecesIsRelayed);
+    CPPUNIT_TEST(optionsOfEachConnectionLineAreRemoved);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -263,6 +264,20 @@
         }
     }
 
+    void optionsOfEachConnectionLineAreRemoved()
+    {
+        RawMessage sound = soundAnswer(RouteKind::Plain);
+        sound.fields.insert(sound.fields.end(),
+                            {"Connection: X-First", "X-First: 1", "Connection: X-Any, X-Second", "X-Second: 1"});
+        AnswerRig rig(RouteKind::Plain);
+        rig.upstream("u", {{sound.text()}});
+        const std::string answer = rig.send();
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("X-First") == std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("X-Second") == std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(answer, answer.find("X-Marker") != std::string::npos);
+    }
+
     /// Guards against an upstream that ends the process with the last chunk in several segments.
     void anEmptyAnswerInPiecesIsRelayed()
     {
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -139,6 +139,7 @@
     CPPUNIT_TEST(anyBytesInAnyPiecesLeaveTheIngressRunning);
     CPPUNIT_TEST(pipelinedRequestsAreRunInOrder);
     CPPUNIT_TEST(trailersAreNotForwardedAsFields);
+    CPPUNIT_TEST(optionsOfEachConnectionLineAreRemoved);
     CPPUNIT_TEST(aRequestWithoutAnIdIsRefused);
     CPPUNIT_TEST(aRefusedRequestIsLoggedAndCounted);
     CPPUNIT_TEST(everyListenerOfTheIngressRefusesAMalformedRequest);
@@ -312,6 +313,18 @@
         }
     }
 
+    void optionsOfEachConnectionLineAreRemoved()
+    {
+        RequestRig rig;
+        RawMessage request = soundRequest();
+        request.fields.insert(request.fields.end(),
+                              {"Connection: X-First", "X-First: 1", "Connection: X-Second, X-Third", "X-Second: 1"});
+        rig.send(request.text() + nextRequest());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, rig.runs().size());
+        CPPUNIT_ASSERT_MESSAGE(rig.runs().front(), !contains(rig.runs().front(), "X-First"));
+        CPPUNIT_ASSERT_MESSAGE(rig.runs().front(), !contains(rig.runs().front(), "X-Second"));
+    }
+
     void aRequestWithoutAnIdIsRefused()
     {
         expectRefused("no id", rawRequest({}, content).text() + nextRequest());
