Close a connection that any Connection line closes

Seen: a request with two Connection lines, of which the second says close, was answered with "Connection: keep-alive", and what the client sent behind it was run. A connection to an upstream that said so was used again.

Cause: message::keep_alive() looks at the first Connection line. RFC 9112, section 9.6, forbids a server to process requests after close, and a client to send them.

Change: both sides ask isNamedByConnection(). The parser's own flag would obey trailers too.

Evidence: aRequestAfterOneThatClosesIsNotRun and aConnectionThatAnyLineClosesIsNotUsedAgain fail without the change.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -161,7 +161,8 @@
 bool HttpCall::reusable() const
 {
     return this->socket.is_open() && this->parser && this->parser->is_done() && this->buffer.size() == 0
-        && this->parser->get().keep_alive() && !this->parser->get().need_eof();
+        && this->parser->get().keep_alive() && !isNamedByConnection(this->responseHead, "close")
+        && !this->parser->get().need_eof();
 }
 
 bool HttpCall::isOpen()
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -262,7 +262,8 @@
 asio::awaitable<bool> Exchange::beginStream(std::string contentType)
 {
     this->responseStarted = true;
-    std::string bytes = headText(statusOk, contentType, this->headers, this->received.keep_alive());
+    std::string bytes
+        = headText(statusOk, contentType, this->headers, this->received.keep_alive() && !this->closeAfterResponse);
     bytes.append("Transfer-Encoding: chunked\r\nCache-Control: no-store\r\n\r\n");
     co_return co_await this->writeRaw(std::move(bytes));
 }
@@ -418,6 +419,10 @@
         co_await this->refuse(stream, exchange, std::move(failure));
         co_return false;
     }
+    // keep_alive() looks at the first Connection field only.
+    if (isNamedByConnection(exchange.request(), "close")) {
+        exchange.closeAfterwards();
+    }
     stream.expires_never();
     co_await this->handler(exchange);
     co_return exchange.reusable();
--- a/tests/unit-net-forward-answers.cpp
+++ b/tests/unit-net-forward-answers.cpp
@@ -156,6 +156,7 @@
     CPPUNIT_TEST(trailersAreNotRelayedAsFields);
     CPPUNIT_TEST(anEmptyAnswerInPiecesIsRelayed);
     CPPUNIT_TEST(optionsOfEachConnectionLineAreRemoved);
+    CPPUNIT_TEST(aConnectionThatAnyLineClosesIsNotUsedAgain);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -278,6 +279,20 @@
         CPPUNIT_ASSERT_MESSAGE(answer, answer.find("X-Marker") != std::string::npos);
     }
 
+    void aConnectionThatAnyLineClosesIsNotUsedAgain()
+    {
+        for (const std::string option : {"X-Any", "close"}) {
+            RawMessage sound = soundAnswer(RouteKind::Plain);
+            sound.fields.insert(sound.fields.end(), {"Connection: keep-alive", "Connection: " + option});
+            AnswerRig rig(RouteKind::Plain);
+            const auto &upstream = rig.upstream("u", {{.answer = sound.text(), .closesConnection = false}});
+            rig.send();
+            rig.send();
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(option, std::size_t{2}, upstream.requests.size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(option, option == "close" ? 2U : 1U, upstream.connections);
+        }
+    }
+
     /// Guards against an upstream that ends the process with the last chunk in several segments.
     void anEmptyAnswerInPiecesIsRelayed()
     {
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -140,6 +140,7 @@
     CPPUNIT_TEST(pipelinedRequestsAreRunInOrder);
     CPPUNIT_TEST(trailersAreNotForwardedAsFields);
     CPPUNIT_TEST(optionsOfEachConnectionLineAreRemoved);
+    CPPUNIT_TEST(aRequestAfterOneThatClosesIsNotRun);
     CPPUNIT_TEST(aRequestWithoutAnIdIsRefused);
     CPPUNIT_TEST(aRefusedRequestIsLoggedAndCounted);
     CPPUNIT_TEST(everyListenerOfTheIngressRefusesAMalformedRequest);
@@ -325,6 +326,25 @@
         CPPUNIT_ASSERT_MESSAGE(rig.runs().front(), !contains(rig.runs().front(), "X-Second"));
     }
 
+    /// Guards against running what a client sends after its last request (RFC 9112, section 9.6).
+    void aRequestAfterOneThatClosesIsNotRun()
+    {
+        for (const std::vector<std::string> &lines :
+             std::vector<std::vector<std::string>>{{"Connection: close"},
+                                                   {"Connection: keep-alive", "Connection: close"},
+                                                   {"Connection: X-Any", "Connection: X-Other, Close"}}) {
+            RequestRig rig;
+            RawMessage request = soundRequest();
+            request.fields.insert(request.fields.end(), lines.begin(), lines.end());
+            const std::string answer = rig.send(request.text() + nextRequest());
+            const std::string what = lines.back() + ": " + answer;
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1}, rig.runs().size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{1}, countOf(answer, "HTTP/1.1 200"));
+            CPPUNIT_ASSERT_MESSAGE(what, contains(answer, "Connection: close\r\n"));
+            CPPUNIT_ASSERT_MESSAGE(what, rig.took < promptly);
+        }
+    }
+
     void aRequestWithoutAnIdIsRefused()
     {
         expectRefused("no id", rawRequest({}, content).text() + nextRequest());
