--- a/tests/rawmessage.h
+++ b/tests/rawmessage.h
@@ -374,8 +374,8 @@
 inline std::vector<MessageChange> unusualRequests()
 {
     std::vector<MessageChange> changes = unusualForms();
-    for (const std::string line : {"GET /r/ HTTP/1.1", "PUT /r/ HTTP/1.1", "POST /r/?a=b%20c&d=/r/ HTTP/1.1",
-                                   "POST /r/a;b:@!$'()*+,= HTTP/1.1"}) {
+    for (const std::string line : {"GET /r/ HTTP/1.1", "PUT /r/ HTTP/1.1", "BREW /r/ HTTP/1.1",
+                                   "POST /r/?a=b%20c&d=/r/ HTTP/1.1", "POST /r/a;b:@!$'()*+,= HTTP/1.1"}) {
         changes.push_back({"request line " + line, [line](RawMessage &request) {
                                request.startLine = line;
                            }});
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -112,6 +112,7 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{2}, rig.runs().size());
     CPPUNIT_ASSERT_EQUAL_MESSAGE(what, std::size_t{2}, countOf(answer, "HTTP/1.1 200"));
     const std::string &run = rig.runs().front();
+    CPPUNIT_ASSERT_MESSAGE(what + "\n" + run, run.starts_with(request.startLine + "\r\n"));
     CPPUNIT_ASSERT_EQUAL_MESSAGE(what, request.content, run.substr(run.find("\r\n\r\n") + 4));
     CPPUNIT_ASSERT_MESSAGE(what, !contains(run, "chunked"));
     CPPUNIT_ASSERT_MESSAGE(what, rig.runs().back().ends_with("\r\n\r\nhi"));
