--- a/include/parsleyvane/net/messagesyntax.h
+++ b/include/parsleyvane/net/messagesyntax.h
@@ -30,8 +30,9 @@
 std::optional<std::string> findHeadDefect(const boost::beast::http::request_header<> &head, std::string_view lines,
                                           bool isChunked);
 
-/// @brief Whether a Connection field names the other field, which then concerns this connection only (RFC 9110, 7.6.1).
-bool isNamedByConnection(const boost::beast::http::fields &fields, boost::beast::string_view name);
+/// @brief Whether any Connection field has the option: "close", or the name of a field that concerns this connection
+/// only (RFC 9110, section 7.6.1).
+bool hasConnectionOption(const boost::beast::http::fields &fields, boost::beast::string_view option);
 
 /// @brief Reports a defect of the last chunk and the trailer section, as findHeadDefect().
 std::optional<std::string> findTrailerDefect(std::string_view lines);
@@ -53,7 +54,7 @@
     // modifiers
     /// @brief Starts a new recording.
     void startRecording();
-    /// @brief Starts a new recording with these bytes, which are among the readable ones.
+    /// @brief Starts a new recording with this byte, one of the readable ones.
     void startRecording(const char *first);
     /// @brief Ends the recording. @return the bytes consumed since it was started; empty when there is none
     std::string stopRecording();
--- a/src/net/forward/forwardedattempt.cpp
+++ b/src/net/forward/forwardedattempt.cpp
@@ -40,7 +40,7 @@
             return boost::beast::iequals(header.name_string(), name);
         };
         const bool own = std::any_of(connectionHeaders.begin(), connectionHeaders.end(), isNamed);
-        if (!own && !isNamedByConnection(head, header.name_string())) {
+        if (!own && !hasConnectionOption(head, header.name_string())) {
             passed.push_back({std::string(header.name_string()), std::string(header.value())});
         }
     }
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -161,7 +161,7 @@
 bool HttpCall::reusable() const
 {
     return this->socket.is_open() && this->parser && this->parser->is_done() && this->buffer.size() == 0
-        && this->parser->get().keep_alive() && !isNamedByConnection(this->responseHead, "close")
+        && this->parser->get().keep_alive() && !hasConnectionOption(this->responseHead, "close")
         && !this->parser->get().need_eof();
 }
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -99,7 +99,26 @@
     LOG(ERROR) << "unhandled exception while serving a request: " << error.what();
 }
 
-/// Reads one request. @return its first defect; the body that follows a defect of the head is not read
+/// Reads a chunked body. The parser adds the trailers to the head's fields; they are dropped, as a recipient may not
+/// merge them (RFC 9110, section 6.5.1). @return the first defect
+asio::awaitable<std::optional<std::string>> readChunks(beast::tcp_stream &stream, RecordingBuffer &buffer,
+                                                       RequestParser &parser, boost::system::error_code &error)
+{
+    http::fields head = parser.get();
+    ChunkHandler chunkHandler = chunkChecker(buffer);
+    parser.on_chunk_header(chunkHandler);
+    co_await awaitFirstChunk(stream, buffer, error);
+    if (!error) {
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error) {
+        co_return std::nullopt;
+    }
+    static_cast<http::fields &>(parser.get()) = std::move(head);
+    co_return findTrailerDefect(buffer.stopRecording());
+}
+
+/// Reads one request. @return its first defect; the body behind a defective head is not read
 asio::awaitable<std::optional<std::string>> readRequest(beast::tcp_stream &stream, RecordingBuffer &buffer,
                                                         RequestParser &parser, boost::system::error_code &error)
 {
@@ -112,25 +131,13 @@
     if (auto defect = findHeadDefect(parser.get(), lines, parser.chunked())) {
         co_return defect;
     }
-    if (!parser.chunked()) {
-        if (!parser.is_done()) {
-            co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        }
-        co_return std::nullopt;
+    if (parser.chunked()) {
+        co_return co_await readChunks(stream, buffer, parser, error);
     }
-    http::fields head = parser.get();
-    ChunkHandler chunkHandler = chunkChecker(buffer);
-    parser.on_chunk_header(chunkHandler);
-    co_await awaitFirstChunk(stream, buffer, error);
-    if (!error) {
+    if (!parser.is_done()) {
         co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
-    if (error) {
-        co_return std::nullopt;
-    }
-    // The parser has added the trailers, which may not change the head (RFC 9110, section 6.5.1).
-    static_cast<http::fields &>(parser.get()) = std::move(head);
-    co_return findTrailerDefect(buffer.stopRecording());
+    co_return std::nullopt;
 }
 
 /// Whether the connection was closed or broken, so that no response can be delivered.
@@ -420,7 +427,7 @@
         co_return false;
     }
     // keep_alive() looks at the first Connection field only.
-    if (isNamedByConnection(exchange.request(), "close")) {
+    if (hasConnectionOption(exchange.request(), "close")) {
         exchange.closeAfterwards();
     }
     stream.expires_never();
--- a/src/net/messagesyntax.cpp
+++ b/src/net/messagesyntax.cpp
@@ -118,17 +118,17 @@
     if (!isValidHost(head[http::field::host])) {
         return "malformed Host";
     }
-    if (isNamedByConnection(head, "Host")) {
+    if (hasConnectionOption(head, "Host")) {
         // Without it, no upstream could accept the request.
         return "Connection names Host";
     }
     return findFieldDefect(head, head.version(), lines, isChunked);
 }
 
-bool isNamedByConnection(const http::fields &fields, beast::string_view name)
+bool hasConnectionOption(const http::fields &fields, beast::string_view option)
 {
     const auto [first, last] = fields.equal_range(http::field::connection);
-    return std::any_of(first, last, [&](const auto &field) { return http::token_list(field.value()).exists(name); });
+    return std::any_of(first, last, [&](const auto &field) { return http::token_list(field.value()).exists(option); });
 }
 
 std::optional<std::string> findTrailerDefect(std::string_view lines)
