--- a/tests/forwardrig.h
+++ b/tests/forwardrig.h
@@ -215,14 +215,15 @@
         asio::ip::tcp::socket socket(self->io);
         boost::system::error_code error;
         co_await socket.async_connect(self->endpoint, asio::redirect_error(asio::use_awaitable, error));
-        socket.set_option(asio::ip::tcp::no_delay(true), error);
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         for (const std::string &piece : pieces) {
             const auto buffer = asio::buffer(piece);
             co_await asio::async_write(socket, buffer, asio::redirect_error(asio::use_awaitable, error));
             if (error) {
                 break;
             }
-            // Lets the ingress receive this piece alone.
+            // The ingress runs in the same thread and receives this piece alone.
             co_await asio::post(self->io, asio::use_awaitable);
         }
         if (self->disconnectsEarly) {
--- a/tests/unit-net-forward-requests.cpp
+++ b/tests/unit-net-forward-requests.cpp
@@ -13,7 +13,7 @@
 /// Well before the end of a connection that stays open.
 constexpr Milliseconds promptly{900};
 
-/// The field line that a header of forwardrig.h ends with CR LF.
+/// A header of forwardrig.h without its line end.
 std::string lineOf(const std::string &header)
 {
     return header.substr(0, header.find("\r\n"));
