Keep the ports of the instance under test from other processes

Cause, suspected: the rig finds free ports, closes them, and the instance listens on them later; another process may take one in between. The test printed no reason, so that this is not shown.

Change: the rig's sockets stay bound, without listening, with the option that lets the instance listen there; a failed start prints its reason. The check is as strict as before.

unit-net-forward-requests, unit-net-forward-stop and unit-net-forward-teardown pass, once each, plain build.

--- a/tests/instancerig.h
+++ b/tests/instancerig.h
@@ -178,7 +178,8 @@
     void start()
     {
         LastReason reason;
-        CPPUNIT_ASSERT(this->instance->start(reason));
+        const bool isStarted = this->instance->start(reason);
+        CPPUNIT_ASSERT_MESSAGE(describe(reason.failure()), isStarted);
         this->thread = std::thread([this]() {
             this->instance->run();
             this->hasStopped = true;
@@ -269,9 +270,11 @@
 
     asio::ip::tcp::endpoint freeEndpoint()
     {
-        // The instance does not report its ports, so free ones are found beforehand.
-        asio::ip::tcp::acceptor probe(this->io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-        return probe.local_endpoint();
+        // The instance does not report its ports. A socket that is bound but does not listen keeps others off the port.
+        auto &reserved = this->reservedPorts.emplace_back(this->io, asio::ip::tcp::v4());
+        reserved.set_option(asio::socket_base::reuse_address(true));
+        reserved.bind({asio::ip::make_address("127.0.0.1"), 0});
+        return reserved.local_endpoint();
     }
 
     /// Adds a service with one upstream, and a route below /NAME/.
@@ -311,6 +314,7 @@
     std::shared_ptr<RouteTable> table = std::make_shared<RouteTable>(Revision(1));
     asio::ip::tcp::endpoint operators;
     std::optional<asio::ip::tcp::endpoint> peers;
+    std::vector<asio::ip::tcp::socket> reservedPorts;
     InstanceSettings settings;
     std::vector<std::shared_ptr<Client>> clients;
     std::thread thread;
